--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the nodes know of the engines, and who places adapters on them."""
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
@@ -0,0 +1,40 @@
+"""The configuration that is in force on this node."""
+
+from collections.abc import Callable
+from typing import final
+
+from _dogwoodhinge.fleet import models
+
+Report = Callable[[str, dict[str, object]], None]
+
+
+@final
+class AppliedConfiguration:
+    """Applies newer versions only; a node never goes back to an older one."""
+
+    def __init__(self, *, report: Report) -> None:
+        self.report = report
+        self.current: models.Configuration | None = None
+
+    def __call__(self) -> models.Configuration | None:
+        """Returns the configuration in force."""
+        return self.current
+
+    def apply(self, configuration: models.Configuration) -> bool:
+        """Puts a configuration in force; False when it is not newer."""
+        if (
+            self.current is not None
+            and configuration.version <= self.current.version
+        ):
+            return False
+        before = self.current.version if self.current else 0
+        self.current = configuration
+        self.report(
+            "configuration_applied",
+            {
+                "config": configuration.version,
+                "before": before,
+                "routes": len(configuration.routes),
+            },
+        )
+        return True
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -0,0 +1,252 @@
+"""Carries out placement decisions: one order after the other an engine.
+
+Every order states how many orders the engine has accepted so far. One that
+got no answer may still be carried out seconds later; as soon as another one is
+accepted, the engine refuses it.
+"""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+from typing import final
+
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import orders as orders_lib
+from _dogwoodhinge.fleet import placement as placement_lib
+from dogwoodhinge import errors
+
+# After a conflict the engine's report is asked for; it lags behind by some
+# hundred milliseconds, so it is read once the last order is older than this.
+REPORT_LAG = datetime.timedelta(milliseconds=350)
+
+# One further send of an order whose answer was lost; the engine carries out
+# at most one of the two, see above.
+SENDS = 2
+
+Report = Callable[[str, dict[str, object]], None]
+
+
+class OrderFailedError(errors.DogwoodhingeError):
+    """An order was not accepted; the engine's state is read anew."""
+
+
+@final
+class EngineLine:
+    """What is known of one engine for ordering."""
+
+    def __init__(self, entry: models.EngineEntry) -> None:
+        self.entry = entry
+        self.orders_accepted = entry.orders_accepted
+        self.lock = asyncio.Lock()
+        self.in_doubt = True
+        self.last_order_at = 0.0
+
+
+@final
+class Loader:
+    """Sends the orders of the node that may give them.
+
+    Attributes:
+        lines: engines by id.
+        may_order: asked right before each order.
+    """
+
+    def __init__(
+        self,
+        *,
+        orders: orders_lib.EngineOrders,
+        placement: placement_lib.Placement,
+        may_order: Callable[[], bool],
+        token: Callable[[], int],
+        report: Report,
+    ) -> None:
+        self.orders = orders
+        self.placement = placement
+        self.may_order = may_order
+        self.token = token
+        self.report = report
+        self.lines: dict[str, EngineLine] = {}
+        self.orders_sent = 0
+        self.orders_failed = 0
+
+    async def read_state(
+        self, entry: models.EngineEntry, *, capacity: int
+    ) -> None:
+        """Reads what an engine holds, before orders are given to it.
+
+        Raises:
+            EngineError: no report arrived.
+        """
+        line = self.lines.get(entry.engine_id)
+        if line is None or line.entry.incarnation != entry.incarnation:
+            line = EngineLine(entry)
+            self.lines[entry.engine_id] = line
+        line.entry = entry
+        async with line.lock:
+            await self._read_state(line, capacity)
+
+    async def _read_state(self, line: EngineLine, capacity: int) -> None:
+        loop = asyncio.get_running_loop()
+        age = loop.time() - line.last_order_at
+        rest = REPORT_LAG.total_seconds() - age
+        if rest > 0:
+            await asyncio.sleep(rest)
+        found = await self.orders.report(line.entry)
+        line.orders_accepted = found.orders_accepted
+        line.in_doubt = False
+        residents = {
+            models.AdapterKey(model.name, adapter): version
+            for model in found.models.values()
+            for adapter, version in model.adapters.items()
+        }
+        self.placement.set_engine(
+            line.entry.engine_id,
+            capacity=capacity,
+            residents=residents,
+            pending=found.pending,
+            in_memory=found.in_memory,
+            now=loop.time(),
+        )
+        self.report(
+            "engine_state_read",
+            {
+                "engine": line.entry.engine_id,
+                "orders_accepted": found.orders_accepted,
+                "residents": len(residents),
+                "pending": len(found.pending),
+                "models": ",".join(found.models),
+            },
+        )
+
+    async def load(
+        self, seat: placement_lib.Seat, key: models.AdapterKey
+    ) -> None:
+        """Orders what a new seat asks for.
+
+        Raises:
+            OrderFailedError: the adapter is not on its way.
+        """
+        line = self.lines.get(seat.engine_id)
+        if line is None:
+            raise OrderFailedError("the engine is not known")
+        loop = asyncio.get_running_loop()
+        async with line.lock:
+            if line.in_doubt:
+                raise OrderFailedError("the engine's state is being read")
+            if seat.evict is not None:
+                await self._unload(line, seat.evict)
+            await self._send(line, key, seat.version, load=True)
+            self.placement.complete(seat.engine_id, key, at=loop.time())
+
+    async def load_model(self, engine_id: str, model: str) -> bool:
+        """Orders a base model; False when the engine is busy."""
+        line = self.lines[engine_id]
+        async with line.lock:
+            if line.in_doubt or not self.may_order():
+                return False
+            self.orders_sent += 1
+            try:
+                reply = await self.orders.load_model(
+                    line.entry,
+                    model,
+                    orders_accepted=line.orders_accepted,
+                    token=self.token(),
+                )
+            except errors.EngineError as error:
+                line.in_doubt = True
+                self.report(
+                    "model_load_failed",
+                    {"engine": engine_id, "reason": str(error)},
+                )
+                return False
+            line.last_order_at = asyncio.get_running_loop().time()
+            if reply is orders_lib.OrderReply.ACCEPTED:
+                line.orders_accepted += 1
+            else:
+                line.in_doubt = True
+            self.report(
+                "model_load_ordered",
+                {"engine": engine_id, "model": model, "reply": reply.value},
+            )
+            return reply is orders_lib.OrderReply.ACCEPTED
+
+    async def _unload(self, line: EngineLine, key: models.AdapterKey) -> None:
+        reply = await self._send(line, key, 0, load=False)
+        if reply is orders_lib.OrderReply.ACCEPTED:
+            # It still runs there, so its place is not free yet.
+            line.in_doubt = True
+            raise OrderFailedError(f"{key} is still in use")
+
+    async def _send(
+        self,
+        line: EngineLine,
+        key: models.AdapterKey,
+        version: int,
+        *,
+        load: bool,
+    ) -> orders_lib.OrderReply:
+        for attempt in range(SENDS):
+            if not self.may_order():
+                raise OrderFailedError("this node may not order any more")
+            self.orders_sent += 1
+            line.last_order_at = asyncio.get_running_loop().time()
+            try:
+                reply = await self._send_once(line, key, version, load=load)
+            except errors.EngineOutcomeUnknownError as error:
+                self._note_failure(line, key, str(error), attempt)
+                continue
+            except errors.EngineError as error:
+                self._note_failure(line, key, str(error), attempt)
+                break
+            if reply in (
+                orders_lib.OrderReply.ACCEPTED,
+                orders_lib.OrderReply.DONE,
+            ):
+                line.orders_accepted += 1
+                return reply
+            self._note_failure(line, key, reply.value, attempt)
+            break
+        line.in_doubt = True
+        raise OrderFailedError("the engine did not accept the order")
+
+    async def _send_once(
+        self,
+        line: EngineLine,
+        key: models.AdapterKey,
+        version: int,
+        *,
+        load: bool,
+    ) -> orders_lib.OrderReply:
+        if load:
+            return await self.orders.load_adapter(
+                line.entry,
+                key,
+                version=version,
+                orders_accepted=line.orders_accepted,
+                token=self.token(),
+            )
+        return await self.orders.unload_adapter(
+            line.entry,
+            key,
+            orders_accepted=line.orders_accepted,
+            token=self.token(),
+        )
+
+    def _note_failure(
+        self,
+        line: EngineLine,
+        key: models.AdapterKey,
+        reason: str,
+        attempt: int,
+    ) -> None:
+        self.orders_failed += 1
+        self.report(
+            "order_failed",
+            {
+                "engine": line.entry.engine_id,
+                "adapter": str(key),
+                "orders_accepted": line.orders_accepted,
+                "reason": reason,
+                "attempt": attempt,
+            },
+        )
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -0,0 +1,170 @@
+"""Keeps this node in touch with the owner, or makes it the owner."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+import datetime
+from typing import final
+
+import mode
+
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import fleet_pb2
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import order_lease as order_lease_lib
+from _dogwoodhinge.fleet import owner as owner_lib
+from _dogwoodhinge.fleet import owner_link as owner_link_lib
+from dogwoodhinge import errors
+
+# A few exchanges within the time in which an adapter stays protected after
+# its last reported use.
+SYNC_EVERY = datetime.timedelta(milliseconds=250)
+
+# Exchanges of many nodes keep the owner busy; above this many nodes each
+# exchanges less often.
+NODES_AT_FULL_RATE = 12
+
+# Between two reads of the lease row while the owner is not reached. Each read
+# is a priced call to the platform, made only then.
+LOOK_EVERY = datetime.timedelta(milliseconds=500)
+
+# Exchanges that may fail before the row is read: one lost answer is no sign.
+FAILURES_BEFORE_LOOK = 2
+
+# The longest pause of a renewal task between two looks at its work.
+RENEW_RETRY = datetime.timedelta(milliseconds=150)
+
+
+@final
+class UseCounter:
+    """What this node uses; the counts begun are taken at each exchange."""
+
+    def __init__(
+        self,
+        *,
+        active: Mapping[models.AdapterKey, int],
+        begun: dict[models.AdapterKey, int],
+        directory: engines_lib.Directory,
+    ) -> None:
+        self.active = active
+        self.begun = begun
+        self.directory = directory
+
+    def take(self, now: float) -> fleet_pb2.SyncRequest:
+        """Returns a report and starts to count anew."""
+        begun = dict(self.begun)
+        self.begun.clear()
+        return fleet_pb2.SyncRequest(
+            adapters=[
+                fleet_pb2.AdapterUse(
+                    model=key.model,
+                    adapter=key.adapter,
+                    active=self.active.get(key, 0),
+                    begun=begun.get(key, 0),
+                )
+                for key in self.active.keys() | begun.keys()
+            ],
+            engines=[
+                fleet_pb2.EngineUse(
+                    engine_id=engine.engine_id,
+                    running=engine.running,
+                    penalty_percent=int(engine.health.current(now) * 100),
+                )
+                for engine in self.directory.engines.values()
+                if engine.running or engine.health.current(now) > 0.05
+            ],
+        )
+
+    def give_back(self, request: fleet_pb2.SyncRequest) -> None:
+        """Counts again what could not be reported."""
+        for use in request.adapters:
+            if use.begun:
+                key = models.AdapterKey(use.model, use.adapter)
+                self.begun[key] = self.begun.get(key, 0) + use.begun
+
+
+@final
+class Membership(mode.Service):
+    """Exchanges with the owner; takes the lease when there is none."""
+
+    def __init__(
+        self,
+        *,
+        lease: order_lease_lib.OrderLease,
+        link: owner_link_lib.OwnerLink,
+        uses: UseCounter,
+        report: Callable[[str, dict[str, object]], None],
+    ) -> None:
+        super().__init__()
+        self.lease = lease
+        self.link = link
+        self.uses = uses
+        self.report = report
+        self.failures = 0
+        self.leaving = False
+
+    async def leave(self) -> None:
+        """Gives the lease up, if it is held, and takes it no more."""
+        self.leaving = True
+        try:
+            await self.lease.give_up()
+        except errors.TableError as error:
+            self.report("order_lease_kept", {"reason": str(error)})
+
+    @mode.Service.task
+    async def _renew(self) -> None:
+        while not self.should_stop:
+            if not self.lease.is_mine or self.leaving:
+                await self.sleep(RENEW_RETRY.total_seconds())
+                continue
+            pause = order_lease_lib.RENEW_EVERY
+            try:
+                await self.lease.renew()
+            except errors.TableError as error:
+                self.report("order_lease_unrenewed", {"reason": str(error)})
+                pause = RENEW_RETRY
+            await self.sleep(pause.total_seconds())
+
+    @mode.Service.task
+    async def _exchange(self) -> None:
+        while not self.should_stop:
+            await self._exchange_once()
+            if self.failures >= FAILURES_BEFORE_LOOK or not self.link.address():
+                await self._look()
+            await self.sleep(self._pause())
+
+    def _pause(self) -> float:
+        if self.failures >= FAILURES_BEFORE_LOOK:
+            return LOOK_EVERY.total_seconds()
+        scale = max(1.0, self.link.nodes / NODES_AT_FULL_RATE)
+        return SYNC_EVERY.total_seconds() * scale
+
+    async def _exchange_once(self) -> None:
+        if not self.link.address():
+            self.failures = FAILURES_BEFORE_LOOK
+            return
+        request = self.uses.take(asyncio.get_running_loop().time())
+        try:
+            await self.link.sync(request)
+        except owner_link_lib.OwnerUnreachableError as error:
+            self.uses.give_back(request)
+            self.failures += 1
+            if self.failures == FAILURES_BEFORE_LOOK:
+                self.report("owner_lost", {"reason": str(error)})
+        except owner_lib.NotOwnerError:
+            self.uses.give_back(request)
+            self.failures = FAILURES_BEFORE_LOOK
+        else:
+            if self.failures >= FAILURES_BEFORE_LOOK:
+                self.report("owner_reached", {"token": self.lease.token})
+            self.failures = 0
+
+    async def _look(self) -> None:
+        if self.lease.is_mine:
+            return
+        try:
+            if self.leaving:
+                await self.lease.refresh()
+            else:
+                await self.lease.try_take()
+        except errors.TableError as error:
+            self.report("order_lease_unread", {"reason": str(error)})
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -0,0 +1,369 @@
+"""The node that gives the orders: answers peers and keeps engines in shape."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+import dataclasses
+import datetime
+from typing import final
+
+import mode
+
+from _dogwoodhinge.fleet import base_models as base_models_lib
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import health as health_lib
+from _dogwoodhinge.fleet import loader as loader_lib
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import order_lease as order_lease_lib
+from _dogwoodhinge.fleet import orders as orders_lib
+from _dogwoodhinge.fleet import placement as placement_lib
+from _dogwoodhinge.fleet import versions as versions_lib
+from dogwoodhinge import errors
+
+Report = Callable[[str, dict[str, object]], None]
+
+# A node that reports nothing for so long has left or is cut off; its use of
+# adapters no longer protects them.
+NODE_SILENCE = datetime.timedelta(seconds=2.5)
+
+TEND_EVERY = datetime.timedelta(milliseconds=150)
+
+# Between two attempts to read the state of an engine that does not answer.
+READ_AGAIN_AFTER = datetime.timedelta(milliseconds=500)
+
+# An order that comes between two others of the same engine waits for them.
+RETRY_SOON = datetime.timedelta(milliseconds=200)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Want:
+    """A node's wish for an adapter on some engine."""
+
+    key: models.AdapterKey
+    version: int
+    avoid: frozenset[str] = frozenset()
+    absent_from: str = ""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Use:
+    """What one node uses.
+
+    Attributes:
+        active: requests under way, by adapter.
+        begun: requests begun since the last report.
+        running: requests under way, by engine.
+        penalties: the node's judgement of engines.
+    """
+
+    node: str
+    active: Mapping[models.AdapterKey, int]
+    begun: Mapping[models.AdapterKey, int]
+    running: Mapping[str, int]
+    penalties: Mapping[str, float]
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class NodeUse:
+    """The last report of a node."""
+
+    use: Use
+    at: float
+
+
+class NotOwnerError(errors.DogwoodhingeError):
+    """Another node gives the orders."""
+
+
+@final
+class Owner(mode.Service):
+    """Leads placement while the lease is held."""
+
+    def __init__(
+        self,
+        *,
+        lease: order_lease_lib.OrderLease,
+        orders: orders_lib.EngineOrders,
+        directory: engines_lib.Directory,
+        configuration: Callable[[], models.Configuration | None],
+        versions: versions_lib.Versions,
+        report: Report,
+    ) -> None:
+        super().__init__()
+        self.lease = lease
+        self.directory = directory
+        self.configuration = configuration
+        self.versions = versions
+        self.report = report
+        self.placement = placement_lib.Placement()
+        self.loader = loader_lib.Loader(
+            orders=orders,
+            placement=self.placement,
+            may_order=lease.may_order,
+            token=lambda: lease.token,
+            report=report,
+        )
+        self.base_models = base_models_lib.BaseModelLoads()
+        self.nodes: dict[str, NodeUse] = {}
+        self.reading: dict[str, asyncio.Task[None]] = {}
+        self.leading = False
+
+    # Calls of peers
+
+    async def place(self, want: Want) -> placement_lib.Seat:
+        """Finds a place for an adapter and orders its load.
+
+        Raises:
+            NotOwnerError: this node gives no orders.
+            NoRoomError: no engine can take it now.
+        """
+        if not self.lease.may_order():
+            raise NotOwnerError("this node does not hold the order lease")
+        now = asyncio.get_running_loop().time()
+        if want.absent_from:
+            self.placement.note_absent(want.absent_from, want.key, now)
+        if want.version > self.placement.newest.get(want.key, 0):
+            self.placement.declare(want.key, want.version)
+        found = self.placement.find(
+            want.key,
+            want.version,
+            self._candidates(want.key.model, now),
+            avoid=want.avoid,
+            now=now,
+        )
+        if isinstance(found, placement_lib.NoRoom):
+            self.report(
+                "place_refused",
+                {
+                    "adapter": str(want.key),
+                    "version": want.version,
+                    "avoid": ",".join(want.avoid),
+                    "retry_after_ms": int(
+                        found.retry_after.total_seconds() * 1000
+                    ),
+                },
+            )
+            raise NoRoomError(found.retry_after)
+        if found.new:
+            return await self._load(found, want.key)
+        return found
+
+    async def _load(
+        self, seat: placement_lib.Seat, key: models.AdapterKey
+    ) -> placement_lib.Seat:
+        loop = asyncio.get_running_loop()
+        try:
+            # Shielded: the asker may leave, the places must stay right.
+            await asyncio.shield(self.add_future(self._carry_out(seat, key)))
+        except loader_lib.OrderFailedError as error:
+            self.placement.undo(seat.engine_id, key, loop.time())
+            self._read_soon(seat.engine_id)
+            raise NoRoomError(RETRY_SOON) from error
+        place = self.placement.engines[seat.engine_id].places.get(key)
+        ready_at = seat.ready_at if place is None else place.ready_at
+        self.report(
+            "adapter_load_ordered",
+            {
+                "adapter": str(key),
+                "version": seat.version,
+                "engine": seat.engine_id,
+                "evicted": str(seat.evict or ""),
+                "ready_in_ms": int((ready_at - loop.time()) * 1000),
+                "token": self.lease.token,
+            },
+        )
+        return dataclasses.replace(seat, ready_at=ready_at)
+
+    async def _carry_out(
+        self, seat: placement_lib.Seat, key: models.AdapterKey
+    ) -> None:
+        await self.loader.load(seat, key)
+
+    def take_use(self, use: Use) -> None:
+        """Takes a node's report.
+
+        Raises:
+            NotOwnerError: this node gives no orders.
+        """
+        if not self.lease.is_mine:
+            raise NotOwnerError("this node does not hold the order lease")
+        now = asyncio.get_running_loop().time()
+        self.nodes[use.node] = NodeUse(use, now)
+        self.placement.note_active(use.node, use.active, use.begun, now)
+
+    def running(self) -> dict[str, int]:
+        """Returns the requests of all nodes, by engine."""
+        total: dict[str, int] = {}
+        for node in self.nodes.values():
+            for engine_id, count in node.use.running.items():
+                total[engine_id] = total.get(engine_id, 0) + count
+        return total
+
+    # Own work
+
+    @mode.Service.task
+    async def _tend(self) -> None:
+        while not self.should_stop:
+            await self.sleep(TEND_EVERY.total_seconds())
+            if not self.lease.is_mine:
+                if self.leading:
+                    self._stop_leading()
+                continue
+            if not self.leading:
+                self.leading = True
+                self.report("placement_started", {"token": self.lease.token})
+            self._forget_nodes()
+            self._follow_engines()
+            await self._load_base_models()
+
+    def _stop_leading(self) -> None:
+        self.leading = False
+        now = asyncio.get_running_loop().time()
+        for engine_id in tuple(self.placement.engines):
+            self.placement.drop_engine(engine_id, now)
+        self.loader.lines.clear()
+        self.nodes.clear()
+        self.report("placement_stopped", {"token": self.lease.token})
+
+    def _forget_nodes(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for name, node in tuple(self.nodes.items()):
+            if now - node.at > NODE_SILENCE.total_seconds():
+                del self.nodes[name]
+                self.placement.drop_node(name)
+
+    def _follow_engines(self) -> None:
+        now = asyncio.get_running_loop().time()
+        current = {e.engine_id: e for e in self._model_engines()}
+        for engine_id, line in tuple(self.loader.lines.items()):
+            engine = current.get(engine_id)
+            if (
+                engine is None
+                or engine.entry.incarnation != line.entry.incarnation
+            ):
+                del self.loader.lines[engine_id]
+                self.placement.drop_engine(engine_id, now)
+                self.base_models.note_ended(engine_id)
+        for engine_id in current:
+            line = self.loader.lines.get(engine_id)
+            if line is None or line.in_doubt:
+                self._read_soon(engine_id)
+
+    def _read_soon(self, engine_id: str) -> None:
+        if engine_id in self.reading:
+            return
+        task = asyncio.ensure_future(self._read(engine_id))
+        self.reading[engine_id] = task
+        task.add_done_callback(lambda _: self.reading.pop(engine_id, None))
+
+    async def _read(self, engine_id: str) -> None:
+        engine = self.directory.engines.get(engine_id)
+        engine_class = None if engine is None else self._class_of(engine)
+        if engine is None or engine_class is None:
+            return
+        try:
+            await self.loader.read_state(
+                engine.entry, capacity=engine_class.adapter_places
+            )
+        except errors.EngineError as error:
+            self.report(
+                "engine_state_unread",
+                {"engine": engine_id, "reason": str(error)},
+            )
+            await asyncio.sleep(READ_AGAIN_AFTER.total_seconds())
+
+    async def _load_base_models(self) -> None:
+        now = asyncio.get_running_loop().time()
+        by_service: dict[str, list[engines_lib.Engine]] = {}
+        for engine in self._model_engines():
+            if engine.entry.models:
+                self.base_models.note_ended(engine.engine_id)
+            by_service.setdefault(engine.entry.service, []).append(engine)
+        for engines in by_service.values():
+            engine_class = self._class_of(engines[0])
+            if engine_class is None:
+                continue
+            copies: dict[str, int] = {}
+            for engine in engines:
+                for name in engine.entry.models:
+                    copies[name] = copies.get(name, 0) + 1
+            empty = [
+                base_models_lib.EmptyEngine(e.engine_id, e.entry.service)
+                for e in engines
+                if not e.entry.models
+                and e.engine_id in self.loader.lines
+                and not self.loader.lines[e.engine_id].in_doubt
+            ]
+            chosen = self.base_models.choose(
+                empty, engine_class=engine_class, copies=copies, now=now
+            )
+            for engine_id, model in chosen:
+                if not await self.loader.load_model(engine_id, model):
+                    self.base_models.note_ended(engine_id)
+
+    def _candidates(
+        self, model: str, now: float
+    ) -> list[placement_lib.Candidate]:
+        running = self.running()
+        found = []
+        for engine in self._model_engines():
+            engine_class = self._class_of(engine)
+            line = self.loader.lines.get(engine.engine_id)
+            if engine_class is None or line is None or line.in_doubt:
+                continue
+            if not engine.holds_model(model):
+                continue
+            penalty = self._penalty(engine, now)
+            if penalty > health_lib.AVOID_ABOVE:
+                continue
+            found.append(
+                placement_lib.Candidate(
+                    engine.engine_id,
+                    engine_class.adapter_places,
+                    running.get(engine.engine_id, 0)
+                    / max(1, engine.entry.slots),
+                    penalty,
+                )
+            )
+        return found
+
+    def _penalty(self, engine: engines_lib.Engine, now: float) -> float:
+        """Returns the worst judgement that at least two nodes share."""
+        judged = [engine.health.current(now)]
+        judged += [
+            node.use.penalties.get(engine.engine_id, 0.0)
+            for node in self.nodes.values()
+            if node.use.node != self.lease.node
+        ]
+        judged.sort(reverse=True)
+        return judged[1] if len(judged) > 1 else judged[0]
+
+    def _model_engines(self) -> list[engines_lib.Engine]:
+        return [
+            engine
+            for engine in self.directory.engines.values()
+            if not engine.leaving and self._class_of(engine) is not None
+        ]
+
+    def _class_of(
+        self, engine: engines_lib.Engine
+    ) -> models.EngineClass | None:
+        configuration = self.configuration()
+        if configuration is None:
+            return None
+        service = configuration.services.get(engine.entry.service)
+        return None if service is None else service.engine
+
+
+class NoRoomError(errors.DogwoodhingeError):
+    """No engine can take an adapter now.
+
+    Attributes:
+        retry_after: when a place may be had.
+    """
+
+    def __init__(self, retry_after: datetime.timedelta) -> None:
+        super().__init__("no engine can take the adapter now")
+        self.retry_after = retry_after
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -0,0 +1,286 @@
+"""An entry node's side of the exchange with the owner, and the peer server."""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+from typing import final
+
+import grpclib
+from grpclib import client as grpc_client
+from grpclib import exceptions as grpc_exceptions
+from grpclib import server as grpc_server
+
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import fleet_grpc
+from _dogwoodhinge.fleet import fleet_pb2
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import owner as owner_lib
+from _dogwoodhinge.fleet import placement as placement_lib
+
+# A call crosses one zone border and may wait for two orders to one engine.
+PLACE_TIMEOUT = datetime.timedelta(milliseconds=900)
+SYNC_TIMEOUT = datetime.timedelta(milliseconds=500)
+
+
+class OwnerUnreachableError(owner_lib.NotOwnerError):
+    """The owner did not answer."""
+
+
+@final
+class FleetServer(fleet_grpc.FleetBase):
+    """Answers peers while this node is the owner."""
+
+    def __init__(self, owner: owner_lib.Owner) -> None:
+        self.owner = owner
+
+    async def Place(  # noqa: N802 - named by the protocol
+        self,
+        stream: "grpc_server.Stream[fleet_pb2.PlaceRequest, fleet_pb2.PlaceReply]",
+    ) -> None:
+        """Finds or loads an adapter."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self.place(request))
+
+    async def Sync(  # noqa: N802 - named by the protocol
+        self,
+        stream: "grpc_server.Stream[fleet_pb2.SyncRequest, fleet_pb2.SyncReply]",
+    ) -> None:
+        """Exchanges use and places."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self.sync(request))
+
+    async def place(
+        self, request: fleet_pb2.PlaceRequest
+    ) -> fleet_pb2.PlaceReply:
+        """Answers one wish."""
+        want = owner_lib.Want(
+            key=models.AdapterKey(request.model, request.adapter),
+            version=request.version,
+            avoid=frozenset(request.avoid),
+            absent_from=request.absent_from,
+        )
+        try:
+            seat = await self.owner.place(want)
+        except owner_lib.NotOwnerError:
+            return fleet_pb2.PlaceReply(not_owner=True)
+        except owner_lib.NoRoomError as error:
+            retry_after = error.retry_after.total_seconds()
+            return fleet_pb2.PlaceReply(retry_after_ms=int(retry_after * 1000))
+        return fleet_pb2.PlaceReply(
+            engine_id=seat.engine_id,
+            version=seat.version,
+            ready_in_ms=_milliseconds_until(seat.ready_at),
+        )
+
+    def sync(self, request: fleet_pb2.SyncRequest) -> fleet_pb2.SyncReply:
+        """Takes a node's use and tells what has changed."""
+        use = owner_lib.Use(
+            node=request.node,
+            active={
+                models.AdapterKey(a.model, a.adapter): a.active
+                for a in request.adapters
+                if a.active
+            },
+            begun={
+                models.AdapterKey(a.model, a.adapter): a.begun
+                for a in request.adapters
+                if a.begun
+            },
+            running={e.engine_id: e.running for e in request.engines},
+            penalties={
+                e.engine_id: e.penalty_percent / 100 for e in request.engines
+            },
+        )
+        try:
+            self.owner.take_use(use)
+        except owner_lib.NotOwnerError:
+            return fleet_pb2.SyncReply(not_owner=True)
+        placement = self.owner.placement
+        token = self.owner.lease.token
+        changes = None
+        if request.token == token:
+            changes = placement.changes_since(request.known_change)
+        complete = changes is None
+        if changes is None:
+            changes = placement.all_places()
+        return fleet_pb2.SyncReply(
+            token=token,
+            last_change=placement.last_change,
+            complete=complete,
+            changes=[_encode_change(change) for change in changes],
+            engines=[
+                fleet_pb2.EngineUse(engine_id=engine_id, running=count)
+                for engine_id, count in self.owner.running().items()
+            ],
+            nodes=len(self.owner.nodes),
+        )
+
+
+def _encode_change(change: placement_lib.Change) -> fleet_pb2.PlaceChange:
+    return fleet_pb2.PlaceChange(
+        engine_id=change.engine_id,
+        model=change.key.model,
+        adapter=change.key.adapter,
+        gone=change.version is None,
+        version=change.version or 0,
+        ready_in_ms=_milliseconds_until(change.ready_at),
+    )
+
+
+def _milliseconds_until(at: float) -> int:
+    return max(0, round((at - asyncio.get_running_loop().time()) * 1000))
+
+
+@final
+class OwnerLink:
+    """Calls the owner, here or on another node.
+
+    Attributes:
+        address: where the owner is, as `ip:port`; empty when unknown.
+        nodes: nodes that take part, from the last exchange.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        own_address: str,
+        local: FleetServer,
+        directory: engines_lib.Directory,
+        address: Callable[[], str],
+    ) -> None:
+        self.node = node
+        self.own_address = own_address
+        self.local = local
+        self.directory = directory
+        self.address = address
+        self.channel: grpc_client.Channel | None = None
+        self.channel_address = ""
+        self.known_change = 0
+        self.known_token = 0
+        self.nodes = 0
+
+    async def place(
+        self,
+        want: owner_lib.Want,
+        *,
+        timeout: datetime.timedelta = PLACE_TIMEOUT,
+    ) -> placement_lib.Seat:
+        """Asks for a place for an adapter.
+
+        Raises:
+            NotOwnerError: nobody gives orders now, as far as known here.
+            OwnerUnreachableError: the owner did not answer.
+            NoRoomError: no engine can take it now.
+        """
+        request = fleet_pb2.PlaceRequest(
+            model=want.key.model,
+            adapter=want.key.adapter,
+            version=want.version,
+            avoid=sorted(want.avoid),
+            absent_from=want.absent_from,
+        )
+        reply: fleet_pb2.PlaceReply
+        if self._is_local():
+            reply = await self.local.place(request)
+        else:
+            reply = await self._call("Place", request, timeout)
+        if reply.not_owner:
+            raise owner_lib.NotOwnerError("the owner has changed")
+        if not reply.engine_id:
+            raise owner_lib.NoRoomError(
+                datetime.timedelta(milliseconds=reply.retry_after_ms)
+            )
+        now = asyncio.get_running_loop().time()
+        return placement_lib.Seat(
+            engine_id=reply.engine_id,
+            version=reply.version,
+            ready_at=now + reply.ready_in_ms / 1000,
+        )
+
+    async def sync(self, request: fleet_pb2.SyncRequest) -> None:
+        """Reports use and takes over what has changed.
+
+        Raises:
+            NotOwnerError: the node asked gives no orders.
+            OwnerUnreachableError: the owner did not answer.
+        """
+        request.node = self.node
+        request.token = self.known_token
+        request.known_change = self.known_change
+        if self._is_local():
+            reply = self.local.sync(request)
+        else:
+            reply = await self._call("Sync", request, SYNC_TIMEOUT)
+        if reply.not_owner:
+            raise owner_lib.NotOwnerError("the owner has changed")
+        self._apply(reply)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        self._drop_channel()
+
+    def _apply(self, reply: fleet_pb2.SyncReply) -> None:
+        now = asyncio.get_running_loop().time()
+        self.known_token = reply.token
+        self.known_change = reply.last_change
+        self.nodes = reply.nodes
+        if reply.complete:
+            for engine in self.directory.engines.values():
+                engine.holdings = {}
+        for change in reply.changes:
+            key = models.AdapterKey(change.model, change.adapter)
+            if change.gone:
+                self.directory.drop_holding(change.engine_id, key)
+                continue
+            self.directory.set_holding(
+                change.engine_id,
+                key,
+                engines_lib.Holding(
+                    change.version, now + change.ready_in_ms / 1000
+                ),
+            )
+        for use in reply.engines:
+            known = self.directory.engines.get(use.engine_id)
+            if known is not None:
+                known.running_elsewhere = max(0, use.running - known.running)
+
+    def _is_local(self) -> bool:
+        return self.address() == self.own_address
+
+    async def _call(
+        self, method: str, request: object, timeout: datetime.timedelta
+    ) -> "fleet_pb2.PlaceReply | fleet_pb2.SyncReply":
+        address = self.address()
+        if not address:
+            raise owner_lib.NotOwnerError("no node gives orders now")
+        stub = fleet_grpc.FleetStub(self._channel_to(address))
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await getattr(stub, method)(request)
+        except (
+            OSError,
+            TimeoutError,
+            grpclib.GRPCError,
+            grpc_exceptions.StreamTerminatedError,
+        ) as error:
+            # A silent connection shows only here; the next call opens anew.
+            self._drop_channel()
+            raise OwnerUnreachableError(
+                f"{method} at {address}: {error or 'timed out'}"
+            ) from error
+
+    def _channel_to(self, address: str) -> grpc_client.Channel:
+        if self.channel is None or self.channel_address != address:
+            self._drop_channel()
+            host, _, port = address.rpartition(":")
+            self.channel = grpc_client.Channel(host, int(port))
+            self.channel_address = address
+        return self.channel
+
+    def _drop_channel(self) -> None:
+        if self.channel is not None:
+            self.channel.close()
+            self.channel = None
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -0,0 +1,488 @@
+"""Decides which engine loads which adapter, and what makes way for it.
+
+Load patterns: thousands of adapters of which a few are popular, over engines
+with few places; rare adapters asked for at once; demand that moves to other
+adapters within seconds; an engine that restarts empty.
+
+One copy of an adapter is enough as long as its engine has room: a second copy
+takes a place that an absent adapter needs. An absent adapter goes where its
+weights load fast, where little runs, and where the least popular adapter makes
+way. Adapters in use, just asked for, or on their way never make way.
+"""
+
+import collections
+from collections.abc import Collection, Iterable, Mapping
+import dataclasses
+import datetime
+import enum
+from typing import final
+
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import popularity as popularity_lib
+
+# The engines' own bound on adapters on their way to one of them.
+MAX_LOADING = 4
+
+# First guess of a load from the weight store; learnt from then on.
+FIRST_LOAD_SECONDS = 0.26
+
+# A load from an engine's host memory takes a tenth of one from the store.
+MEMORY_LOAD_FACTOR = 0.12
+
+# An estimate grows by this factor for each request that came too early, and
+# shrinks by the other for each that found its adapter ready: one request in
+# about fifty comes too early in the long run.
+TOO_EARLY_FACTOR = 1.04
+IN_TIME_FACTOR = 0.9992
+MIN_LOAD_SECONDS = 0.1
+MAX_LOAD_SECONDS = 2.0
+
+# A request that came too early tries again after this time.
+TOO_EARLY_PAUSE_SECONDS = 0.03
+
+# Between the answer that places an adapter and the first report of its use.
+PROTECTED_SECONDS = 0.8
+
+# Adapters whose weights an engine still has in host memory, as far as its
+# report does not tell; engines keep about a hundred.
+MAX_IN_MEMORY = 100
+
+# Costs of a place, in engine loads: a load from the store against one from
+# memory, and the loss of an adapter that is asked for once in a half-life.
+STORE_LOAD_COST = 0.25
+VICTIM_COST = 0.1
+
+
+class State(enum.Enum):
+    """Where an adapter is on its way."""
+
+    LOADING = "loading"
+    RESIDENT = "resident"
+    UNLOADING = "unloading"
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class Place:
+    """An adapter's place on an engine.
+
+    Attributes:
+        ready_at: loop time from which it serves.
+        used_at: loop time of the last known use.
+        from_store: its load came from the weight store.
+    """
+
+    version: int
+    state: State
+    ready_at: float
+    used_at: float
+    from_store: bool = False
+
+    def is_loading(self, now: float) -> bool:
+        """Tells whether the adapter is still on its way."""
+        return self.state is State.LOADING and self.ready_at > now
+
+
+@final
+class EnginePlaces:
+    """The places of one engine."""
+
+    def __init__(self, engine_id: str, *, capacity: int) -> None:
+        self.engine_id = engine_id
+        self.capacity = capacity
+        self.places: dict[models.AdapterKey, Place] = {}
+        self.in_memory: collections.OrderedDict[models.AdapterKey, None] = (
+            collections.OrderedDict()
+        )
+
+    def loading(self, now: float) -> int:
+        """Returns how many adapters are on their way."""
+        return sum(place.is_loading(now) for place in self.places.values())
+
+    def note_in_memory(self, key: models.AdapterKey) -> None:
+        """Notes that the engine had an adapter's weights."""
+        self.in_memory[key] = None
+        self.in_memory.move_to_end(key)
+        if len(self.in_memory) > MAX_IN_MEMORY:
+            self.in_memory.popitem(last=False)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An engine that may load adapters.
+
+    Attributes:
+        load: requests on it for each slot.
+        penalty: see `health`.
+    """
+
+    engine_id: str
+    capacity: int
+    load: float
+    penalty: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Seat:
+    """Where a request for an adapter may go.
+
+    Attributes:
+        ready_at: loop time from which the adapter serves.
+        evict: the adapter that makes way; None when a place is free.
+        new: a load must be ordered first.
+    """
+
+    engine_id: str
+    version: int
+    ready_at: float
+    evict: models.AdapterKey | None = None
+    new: bool = False
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoom:
+    """No engine can take the adapter now.
+
+    Attributes:
+        retry_after: when a place may be had.
+    """
+
+    retry_after: datetime.timedelta
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One change of a place, for the other nodes; version None: gone."""
+
+    number: int
+    engine_id: str
+    key: models.AdapterKey
+    version: int | None
+    ready_at: float
+
+
+# Nodes ask several times a second; one that missed so many asks for all.
+MAX_CHANGES = 2_000
+
+
+@final
+class Placement:
+    """The places of all engines that this node gives orders to."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, EnginePlaces] = {}
+        self.popularity = popularity_lib.Popularity()
+        self.active: dict[str, dict[models.AdapterKey, int]] = {}
+        self.load_seconds = FIRST_LOAD_SECONDS
+        self.changes: collections.deque[Change] = collections.deque(
+            maxlen=MAX_CHANGES
+        )
+        self.last_change = 0
+        self.newest: dict[models.AdapterKey, int] = {}
+
+    def declare(self, key: models.AdapterKey, version: int) -> None:
+        """Takes a newer version: older weights are of no use any more."""
+        self.newest[key] = version
+        for engine in self.engines.values():
+            engine.in_memory.pop(key, None)
+
+    def set_engine(
+        self,
+        engine_id: str,
+        *,
+        capacity: int,
+        residents: Mapping[models.AdapterKey, int],
+        pending: Mapping[models.AdapterKey, int],
+        in_memory: Iterable[models.AdapterKey],
+        now: float,
+    ) -> None:
+        """Takes an engine's own report on what it holds."""
+        known = EnginePlaces(engine_id, capacity=capacity)
+        previous = self.engines.get(engine_id)
+        for key in in_memory:
+            known.note_in_memory(key)
+        self.engines[engine_id] = known
+        for key, version in residents.items():
+            self._set(known, key, Place(version, State.RESIDENT, now, now))
+        for key, version in pending.items():
+            ready_at = now + self.load_seconds
+            self._set(known, key, Place(version, State.LOADING, ready_at, now))
+        if previous is not None:
+            for key in previous.places.keys() - known.places.keys():
+                self._note_change(engine_id, key, None, now)
+
+    def drop_engine(self, engine_id: str, now: float) -> None:
+        """Forgets an engine that is gone or has restarted."""
+        known = self.engines.pop(engine_id, None)
+        if known is not None:
+            for key in known.places:
+                self._note_change(engine_id, key, None, now)
+
+    def note_active(
+        self,
+        node: str,
+        active: Mapping[models.AdapterKey, int],
+        uses: Mapping[models.AdapterKey, int],
+        now: float,
+    ) -> None:
+        """Takes a node's report on the adapters it uses.
+
+        Args:
+            node: name of the node.
+            active: requests under way, by adapter.
+            uses: requests begun since its last report, by adapter.
+            now: loop time.
+        """
+        self.active[node] = dict(active)
+        for key, count in uses.items():
+            self.popularity.note_uses(key, count, now)
+        for engine in self.engines.values():
+            for key in uses.keys() & engine.places.keys():
+                engine.places[key].used_at = now
+
+    def drop_node(self, node: str) -> None:
+        """Forgets a node that no longer reports."""
+        self.active.pop(node, None)
+
+    def find(
+        self,
+        key: models.AdapterKey,
+        version: int,
+        candidates: Iterable[Candidate],
+        *,
+        avoid: Collection[str],
+        now: float,
+    ) -> Seat | NoRoom:
+        """Finds an engine for an adapter and reserves its place.
+
+        Args:
+            key: the adapter.
+            version: the oldest version that will do; 0 for any.
+            candidates: the engines that may be used.
+            avoid: engines that the asker can't use.
+            now: loop time.
+
+        Returns:
+            A seat; `new` ones have to be loaded, see `complete` and `undo`.
+        """
+        usable = [c for c in candidates if c.engine_id not in avoid]
+        held = self._held(key, version, usable)
+        if held is not None:
+            return held
+        best: tuple[float, Candidate, models.AdapterKey | None] | None = None
+        for candidate in usable:
+            offer = self._offer(key, candidate, now)
+            if offer is not None and (best is None or offer[0] < best[0]):
+                best = offer
+        if best is None:
+            return NoRoom(self._room_after(usable, now))
+        _, candidate, victim = best
+        return self._reserve(key, version, candidate, victim, now)
+
+    def complete(
+        self, engine_id: str, key: models.AdapterKey, *, at: float
+    ) -> Place | None:
+        """Notes that a reserved load was accepted at loop time `at`."""
+        engine = self.engines.get(engine_id)
+        place = None if engine is None else engine.places.get(key)
+        if engine is None or place is None:
+            return None
+        place.ready_at = at + self.expected_load(place.from_store)
+        engine.note_in_memory(key)
+        self._note_change(engine_id, key, place.version, place.ready_at)
+        return place
+
+    def undo(self, engine_id: str, key: models.AdapterKey, now: float) -> None:
+        """Frees a place: the adapter is gone, or was never loaded."""
+        engine = self.engines.get(engine_id)
+        if engine is not None and engine.places.pop(key, None) is not None:
+            self._note_change(engine_id, key, None, now)
+
+    def note_unloading(self, engine_id: str, key: models.AdapterKey) -> None:
+        """Notes that an adapter leaves once its runs have ended."""
+        engine = self.engines.get(engine_id)
+        if engine is not None and key in engine.places:
+            engine.places[key].state = State.UNLOADING
+
+    def note_absent(
+        self, engine_id: str, key: models.AdapterKey, now: float
+    ) -> None:
+        """Takes the word of a node that an engine did not have an adapter."""
+        engine = self.engines.get(engine_id)
+        place = None if engine is None else engine.places.get(key)
+        if place is None:
+            return
+        if now - place.ready_at < self.load_seconds:
+            place.ready_at = now + TOO_EARLY_PAUSE_SECONDS
+            if place.from_store:
+                self.load_seconds = min(
+                    MAX_LOAD_SECONDS, self.load_seconds * TOO_EARLY_FACTOR
+                )
+            return
+        self.undo(engine_id, key, now)
+
+    def expected_load(self, from_store: bool) -> float:
+        """Returns the expected seconds of a load."""
+        if from_store:
+            return self.load_seconds
+        return self.load_seconds * MEMORY_LOAD_FACTOR
+
+    def changes_since(self, number: int) -> list[Change] | None:
+        """Returns later changes; None when some are no longer kept."""
+        if number == self.last_change:
+            return []
+        if not self.changes or self.changes[0].number > number + 1:
+            return None
+        if number > self.last_change:
+            return None
+        return [c for c in self.changes if c.number > number]
+
+    def all_places(self) -> list[Change]:
+        """Returns every place as a change."""
+        return [
+            Change(self.last_change, engine_id, key, p.version, p.ready_at)
+            for engine_id, engine in self.engines.items()
+            for key, p in engine.places.items()
+            if p.state is not State.UNLOADING
+        ]
+
+    def _held(
+        self,
+        key: models.AdapterKey,
+        version: int,
+        usable: list[Candidate],
+    ) -> Seat | None:
+        best: tuple[float, Seat] | None = None
+        for candidate in usable:
+            engine = self.engines.get(candidate.engine_id)
+            place = None if engine is None else engine.places.get(key)
+            if (
+                place is None
+                or place.version < version
+                or place.state is State.UNLOADING
+            ):
+                continue
+            seat = Seat(
+                engine_id=candidate.engine_id,
+                version=place.version,
+                ready_at=place.ready_at,
+            )
+            if best is None or candidate.load < best[0]:
+                best = (candidate.load, seat)
+        return None if best is None else best[1]
+
+    def _offer(
+        self, key: models.AdapterKey, candidate: Candidate, now: float
+    ) -> tuple[float, Candidate, models.AdapterKey | None] | None:
+        engine = self.engines.get(candidate.engine_id)
+        if engine is None or engine.loading(now) >= MAX_LOADING:
+            return None
+        cost = candidate.load + candidate.penalty
+        if key not in engine.in_memory:
+            cost += STORE_LOAD_COST
+        outdated = engine.places.get(key)
+        if outdated is not None:
+            # An older version makes way for the newer one in its own place.
+            if not self._evictable(key, outdated, now):
+                return None
+            return cost, candidate, key
+        if len(engine.places) < engine.capacity:
+            return cost, candidate, None
+        victim = self._victim(engine, now)
+        if victim is None:
+            return None
+        cost += VICTIM_COST * self.popularity.score(victim, now)
+        return cost, candidate, victim
+
+    def _victim(
+        self, engine: EnginePlaces, now: float
+    ) -> models.AdapterKey | None:
+        evictable = [
+            key
+            for key, place in engine.places.items()
+            if self._evictable(key, place, now)
+        ]
+        return min(
+            evictable,
+            key=lambda key: (
+                not self._is_outdated(key, engine.places[key]),
+                self.popularity.score(key, now),
+                engine.places[key].used_at,
+            ),
+            default=None,
+        )
+
+    def _is_outdated(self, key: models.AdapterKey, place: Place) -> bool:
+        return place.version < self.newest.get(key, 0)
+
+    def _evictable(
+        self, key: models.AdapterKey, place: Place, now: float
+    ) -> bool:
+        if place.state is State.UNLOADING:
+            return False
+        if any(key in active for active in self.active.values()):
+            return False
+        return now - max(place.ready_at, place.used_at) > PROTECTED_SECONDS
+
+    def _reserve(
+        self,
+        key: models.AdapterKey,
+        version: int,
+        candidate: Candidate,
+        victim: models.AdapterKey | None,
+        now: float,
+    ) -> Seat:
+        engine = self.engines[candidate.engine_id]
+        if victim is not None:
+            engine.places[victim].state = State.UNLOADING
+            self._note_change(engine.engine_id, victim, None, now)
+            del engine.places[victim]
+        from_store = key not in engine.in_memory
+        ready_at = now + self.expected_load(from_store)
+        place = Place(version, State.LOADING, ready_at, now, from_store)
+        self._set(engine, key, place)
+        self.load_seconds = max(
+            MIN_LOAD_SECONDS, self.load_seconds * IN_TIME_FACTOR
+        )
+        return Seat(
+            engine_id=engine.engine_id,
+            version=version,
+            ready_at=ready_at,
+            evict=victim,
+            new=True,
+        )
+
+    def _room_after(
+        self, usable: list[Candidate], now: float
+    ) -> datetime.timedelta:
+        ends = [
+            place.ready_at + PROTECTED_SECONDS - now
+            for candidate in usable
+            if candidate.engine_id in self.engines
+            for place in self.engines[candidate.engine_id].places.values()
+        ]
+        wait = min((end for end in ends if end > 0), default=1.0)
+        return datetime.timedelta(seconds=max(0.1, wait))
+
+    def _set(
+        self, engine: EnginePlaces, key: models.AdapterKey, place: Place
+    ) -> None:
+        engine.places[key] = place
+        engine.note_in_memory(key)
+        self._note_change(engine.engine_id, key, place.version, place.ready_at)
+
+    def _note_change(
+        self,
+        engine_id: str,
+        key: models.AdapterKey,
+        version: int | None,
+        ready_at: float,
+    ) -> None:
+        self.last_change += 1
+        self.changes.append(
+            Change(self.last_change, engine_id, key, version, ready_at)
+        )
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/popularity.py
@@ -0,0 +1,49 @@
+"""Estimates how often each adapter is asked for."""
+
+from collections.abc import Mapping
+import datetime
+from typing import final
+
+from _dogwoodhinge.fleet import models
+
+# Demand moves to other adapters within some seconds; uses older than a few
+# half-lives no longer count.
+HALF_LIFE = datetime.timedelta(seconds=4)
+
+# Bounds the memory; beyond it the least popular half is forgotten.
+MAX_ADAPTERS = 20_000
+
+
+@final
+class Popularity:
+    """A count of uses that halves with time, by adapter."""
+
+    def __init__(self) -> None:
+        self.scores: dict[models.AdapterKey, tuple[float, float]] = {}
+
+    def note_uses(
+        self, key: models.AdapterKey, uses: float, now: float
+    ) -> None:
+        """Adds uses at `now`, monotonic seconds."""
+        self.scores[key] = (self.score(key, now) + uses, now)
+        if len(self.scores) > MAX_ADAPTERS:
+            self._forget(now)
+
+    def score(self, key: models.AdapterKey, now: float) -> float:
+        """Returns the decayed count of an adapter."""
+        found = self.scores.get(key)
+        if found is None:
+            return 0.0
+        score, noted_at = found
+        age = max(0.0, now - noted_at)
+        return score * 0.5 ** (age / HALF_LIFE.total_seconds())
+
+    def counts(self, now: float) -> Mapping[models.AdapterKey, float]:
+        """Returns the decayed counts of all adapters."""
+        return {key: self.score(key, now) for key in self.scores}
+
+    def _forget(self, now: float) -> None:
+        counts = self.counts(now)
+        kept = sorted(counts, key=lambda key: -counts[key])
+        for key in kept[MAX_ADAPTERS // 2 :]:
+            del self.scores[key]
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' HTTP requests to engines and plain services."""
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -0,0 +1,234 @@
+"""Takes a caller's request to its end: an answer, a refusal, or a break."""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+import random
+from typing import final
+
+import h11
+
+from _dogwoodhinge import event_log
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.gateway import call as call_lib
+from _dogwoodhinge.gateway import codec as codec_lib
+from _dogwoodhinge.gateway import errors
+from _dogwoodhinge.gateway import plain as plain_lib
+from _dogwoodhinge.gateway import second_sends as second_sends_lib
+from _dogwoodhinge.gateway import streams as streams_lib
+from _dogwoodhinge.http1 import errors as http_errors
+from _dogwoodhinge.http1 import server
+
+# Callers that are refused together come back spread over this part more.
+RETRY_SPREAD = 0.5
+
+RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(seconds=1)
+
+
+@final
+class Outcomes:
+    """Counts of ended requests, for the metrics page.
+
+    Attributes:
+        counts: by route kind and outcome.
+        first_byte_seconds: a histogram source; called with each latency.
+    """
+
+    def __init__(self) -> None:
+        self.counts: dict[tuple[str, str], int] = {}
+        self.observers: list[Callable[[str, float], None]] = []
+
+    def note(self, kind: str, outcome: str) -> None:
+        """Counts one ended request."""
+        key = kind, outcome
+        self.counts[key] = self.counts.get(key, 0) + 1
+
+    def observe_first_byte(self, kind: str, seconds: float) -> None:
+        """Records the time to the first byte."""
+        for observer in self.observers:
+            observer(kind, seconds)
+
+
+@final
+class Handler:
+    """Routes requests and ends each of them at once and truthfully."""
+
+    def __init__(
+        self,
+        *,
+        codec: codec_lib.Codec,
+        configuration: Callable[[], models.Configuration | None],
+        plain: plain_lib.PlainForwarder,
+        streams: streams_lib.StreamForwarder,
+        budget: second_sends_lib.SecondSends,
+        events: event_log.Events,
+        draw: random.Random,
+    ) -> None:
+        self.codec = codec
+        self.configuration = configuration
+        self.plain = plain
+        self.streams = streams
+        self.budget = budget
+        self.events = events
+        self.draw = draw
+        self.outcomes = Outcomes()
+        self.active: dict[models.AdapterKey, int] = {}
+        self.begun: dict[models.AdapterKey, int] = {}
+
+    async def handle(self, raw: server.RawRequest, reply: server.Reply) -> None:
+        """Serves one request; see `http1.server.Handler`."""
+        try:
+            request = self.codec.decode_request(raw)
+        except codec_lib.BadRequestError as error:
+            self.events.write("request_malformed", {"reason": str(error)})
+            reply.answer(400, self.codec.own_headers(""))
+            return
+        configuration = self.configuration()
+        if configuration is None:
+            self._refuse_unconfigured(request.request_id, reply)
+            return
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            self.events.write(
+                "route_unknown",
+                {
+                    "request": request.request_id,
+                    "host": request.host,
+                    "path": request.path,
+                    "config": configuration.version,
+                },
+            )
+            reply.answer(404, self.codec.own_headers(request.request_id))
+            return
+        call = call_lib.Call(
+            request=request,
+            route=route,
+            service=self._pick_service(route),
+            config_version=configuration.version,
+        )
+        await self._serve(call, reply)
+
+    def _refuse_unconfigured(
+        self, request_id: str, reply: server.Reply
+    ) -> None:
+        self.events.write("request_unconfigured", {"request": request_id})
+        wait = RETRY_WITHOUT_CONFIGURATION.total_seconds()
+        headers = self.codec.own_headers(request_id, retry_after_seconds=wait)
+        reply.answer(503, headers)
+
+    def _pick_service(self, route: models.Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        return self.draw.choices(
+            [share.service for share in route.shares],
+            weights=[share.weight for share in route.shares],
+        )[0]
+
+    async def _serve(self, call: call_lib.Call, reply: server.Reply) -> None:
+        loop = asyncio.get_running_loop()
+        self.budget.note_request(call.service, loop.time())
+        key = call.request.adapter
+        self._note_begin(key)
+        outcome = "caller_left"
+        try:
+            outcome = await self._forward(call, reply)
+        finally:
+            self._note_end(key)
+            self._log(call, reply, outcome)
+
+    async def _forward(self, call: call_lib.Call, reply: server.Reply) -> str:
+        try:
+            async with asyncio.timeout_at(call.give_up_at):
+                if call.request.adapter is None:
+                    await self.plain.forward(call, reply)
+                else:
+                    await self.streams.forward(call, reply)
+        except errors.RefusedError as error:
+            return self._refuse(call, reply, error)
+        except errors.OutcomeUnknownError:
+            return self._end_unknown(call, reply, 502, "unknown")
+        except TimeoutError:
+            if call.tried:
+                return self._end_unknown(call, reply, 504, "timed_out")
+            refusal = errors.RefusedError(
+                "timed_out_unsent", retry_after=datetime.timedelta(seconds=1)
+            )
+            return self._refuse(call, reply, refusal)
+        except (http_errors.ConnectionLostError, h11.LocalProtocolError):
+            reply.break_off()
+            return "caller_lost"
+        return "answered"
+
+    def _refuse(
+        self,
+        call: call_lib.Call,
+        reply: server.Reply,
+        error: errors.RefusedError,
+    ) -> str:
+        if reply.begun or call.may_have_run:
+            return self._end_unknown(call, reply, 502, error.reason)
+        wait = error.retry_after.total_seconds()
+        wait *= 1 + self.draw.random() * RETRY_SPREAD
+        headers = self.codec.own_headers(
+            call.request.request_id, retry_after_seconds=wait
+        )
+        call.note(f"retry_after {wait:.2f}")
+        reply.answer(503, headers)
+        return f"refused_{error.reason}"
+
+    def _end_unknown(
+        self, call: call_lib.Call, reply: server.Reply, status: int, why: str
+    ) -> str:
+        if reply.begun:
+            reply.break_off()
+            return f"broken_off_{why}"
+        headers = self.codec.own_headers(call.request.request_id)
+        reply.answer(status, headers)
+        return f"failed_{why}"
+
+    def _note_begin(self, key: models.AdapterKey | None) -> None:
+        if key is None or not key.adapter:
+            return
+        self.active[key] = self.active.get(key, 0) + 1
+        self.begun[key] = self.begun.get(key, 0) + 1
+
+    def _note_end(self, key: models.AdapterKey | None) -> None:
+        if key is None or not key.adapter:
+            return
+        left = self.active.get(key, 0) - 1
+        if left > 0:
+            self.active[key] = left
+        else:
+            self.active.pop(key, None)
+
+    def _log(
+        self, call: call_lib.Call, reply: server.Reply, outcome: str
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        kind = call.route.kind.value
+        self.outcomes.note(kind, outcome)
+        first_byte = None
+        if call.first_byte_at is not None:
+            first_byte = call.first_byte_at - call.received_at
+            self.outcomes.observe_first_byte(kind, first_byte)
+        fields: dict[str, object] = {
+            "request": call.request.request_id,
+            "route": call.route.name,
+            "service": call.service,
+            "config": call.config_version,
+            "outcome": outcome,
+            "status": reply.status,
+            "engines": call.tried,
+            "ms": int((now - call.received_at) * 1000),
+            "bytes": reply.sent_bytes,
+        }
+        if first_byte is not None:
+            fields["first_byte_ms"] = int(first_byte * 1000)
+        if call.request.adapter is not None:
+            fields["adapter"] = str(call.request.adapter)
+            fields["found_by"] = call.found_by
+            fields["version"] = call.adapter_version
+            fields["events"] = call.events
+        if call.notes:
+            fields["steps"] = call.notes
+        self.events.write("request", fields)
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -0,0 +1,233 @@
+"""Finds the engine on which a request for an adapter runs."""
+
+import asyncio
+from collections.abc import Collection
+import dataclasses
+import datetime
+import random
+from typing import final
+
+from _dogwoodhinge.fleet import choice
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import owner as owner_lib
+from _dogwoodhinge.fleet import owner_link as owner_link_lib
+from _dogwoodhinge.fleet import versions as versions_lib
+from _dogwoodhinge.gateway import errors
+
+# Part of the latency target that may pass before a place is found; loading and
+# the first event take the rest.
+WAIT_FOR_PLACE = 0.5
+
+ASK_AGAIN_AFTER = datetime.timedelta(milliseconds=60)
+
+# While nobody gives orders, absent adapters can't be loaded. Another owner
+# takes over within some seconds.
+RETRY_WITHOUT_OWNER = datetime.timedelta(milliseconds=1_000)
+RETRY_WITHOUT_ENGINE = datetime.timedelta(milliseconds=800)
+
+# A holder with more requests than slots for this part gets company.
+CROWDED_LOAD = 1.0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Found:
+    """An engine and what to ask of it.
+
+    Attributes:
+        version: the version that the engine must have; None for any.
+        found_by: `held`, `placed` or `model` (no adapter needed).
+    """
+
+    engine: engines_lib.Engine
+    version: int | None
+    found_by: str
+
+
+@final
+class SeatFinder:
+    """Chooses among the holders of an adapter, or has it loaded."""
+
+    def __init__(
+        self,
+        *,
+        directory: engines_lib.Directory,
+        versions: versions_lib.Versions,
+        link: owner_link_lib.OwnerLink,
+        zone: str,
+        draw: random.Random,
+    ) -> None:
+        self.directory = directory
+        self.versions = versions
+        self.link = link
+        self.zone = zone
+        self.draw = draw
+
+    async def find(
+        self,
+        service: str,
+        key: models.AdapterKey,
+        *,
+        avoid: Collection[str],
+        absent_from: str,
+        wait_until: float,
+    ) -> Found:
+        """Finds an engine and waits until the adapter is ready on it.
+
+        Args:
+            service: the service of the request's route.
+            key: the adapter, or the base model alone.
+            avoid: engines that were tried.
+            absent_from: an engine that just said it does not have it.
+            wait_until: loop time up to which a place is waited for.
+
+        Raises:
+            RefusedError: there is no place, and none will come in time.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            found = await self._find_once(service, key, avoid, absent_from)
+            if isinstance(found, Found):
+                return found
+            absent_from = ""
+            pause = ASK_AGAIN_AFTER.total_seconds()
+            if loop.time() + pause > wait_until:
+                raise found
+            await asyncio.sleep(pause)
+
+    async def _find_once(
+        self,
+        service: str,
+        key: models.AdapterKey,
+        avoid: Collection[str],
+        absent_from: str,
+    ) -> "Found | errors.RefusedError":
+        now = asyncio.get_running_loop().time()
+        engines = [
+            e
+            for e in self.directory.serving(service)
+            if e.engine_id not in avoid
+        ]
+        if not engines:
+            return errors.RefusedError(
+                "no_engine", retry_after=RETRY_WITHOUT_ENGINE
+            )
+        if not key.adapter:
+            return self._any_with_model(engines, key.model, now)
+        newest = self.versions.newest(key) or 0
+        holders = self._usable_holders(service, key, newest, avoid, now)
+        if holders and not absent_from:
+            return await self._use_holder(holders, key, newest, now)
+        return await self._place(service, key, newest, avoid, absent_from)
+
+    def _usable_holders(
+        self,
+        service: str,
+        key: models.AdapterKey,
+        version: int,
+        avoid: Collection[str],
+        now: float,
+    ) -> list[tuple[engines_lib.Engine, engines_lib.Holding]]:
+        return [
+            (engine, holding)
+            for engine, holding in self.directory.holders(service, key)
+            if holding.version >= version
+            and engine.engine_id not in avoid
+            and not engine.health.to_be_avoided(now)
+        ]
+
+    async def _use_holder(
+        self,
+        holders: list[tuple[engines_lib.Engine, engines_lib.Holding]],
+        key: models.AdapterKey,
+        version: int,
+        now: float,
+    ) -> "Found | errors.RefusedError":
+        ready = [engine for engine, held in holders if held.ready_at <= now]
+        engine = choice.choose(
+            ready or [engine for engine, _ in holders],
+            zone=self.zone,
+            now=now,
+            draw=self.draw,
+        )
+        assert engine is not None
+        if not ready:
+            await asyncio.sleep(engine.holdings[key].ready_at - now)
+        return Found(engine=engine, version=version or None, found_by="held")
+
+    def _any_with_model(
+        self, engines: list[engines_lib.Engine], model: str, now: float
+    ) -> "Found | errors.RefusedError":
+        engine = choice.choose(
+            [e for e in engines if e.holds_model(model)],
+            zone=self.zone,
+            now=now,
+            draw=self.draw,
+        )
+        if engine is None:
+            return errors.RefusedError(
+                "model_absent", retry_after=RETRY_WITHOUT_ENGINE
+            )
+        return Found(engine=engine, version=None, found_by="model")
+
+    async def _place(
+        self,
+        service: str,
+        key: models.AdapterKey,
+        newest: int,
+        avoid: Collection[str],
+        absent_from: str,
+    ) -> "Found | errors.RefusedError":
+        now = asyncio.get_running_loop().time()
+        shunned = {
+            e.engine_id
+            for e in self.directory.serving(service)
+            if e.health.to_be_avoided(now)
+        }
+        want = owner_lib.Want(
+            key=key,
+            version=newest,
+            avoid=frozenset(avoid) | shunned,
+            absent_from=absent_from,
+        )
+        try:
+            seat = await self.link.place(want)
+        except owner_lib.NoRoomError as error:
+            return errors.RefusedError(
+                "no_place", retry_after=error.retry_after
+            )
+        except owner_lib.NotOwnerError:
+            return self._use_older(service, key, avoid)
+        engine = self.directory.engines.get(seat.engine_id)
+        if engine is None or engine.leaving:
+            return errors.RefusedError(
+                "engine_left", retry_after=RETRY_WITHOUT_ENGINE
+            )
+        engine.holdings[key] = engines_lib.Holding(seat.version, seat.ready_at)
+        loop = asyncio.get_running_loop()
+        if seat.ready_at > loop.time():
+            await asyncio.sleep(seat.ready_at - loop.time())
+        return Found(engine=engine, version=newest or None, found_by="placed")
+
+    def _use_older(
+        self,
+        service: str,
+        key: models.AdapterKey,
+        avoid: Collection[str],
+    ) -> "Found | errors.RefusedError":
+        """Falls back on an older version while nobody gives orders."""
+        now = asyncio.get_running_loop().time()
+        lowest = self.versions.lowest_allowed(key, now)
+        holders = self._usable_holders(service, key, lowest, avoid, now)
+        engine = choice.choose(
+            [engine for engine, _ in holders],
+            zone=self.zone,
+            now=now,
+            draw=self.draw,
+        )
+        if engine is None:
+            return errors.RefusedError(
+                "no_owner", retry_after=RETRY_WITHOUT_OWNER
+            )
+        return Found(engine=engine, version=lowest or None, found_by="older")
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/second_sends.py
@@ -0,0 +1,78 @@
+"""The budget for sends beyond the first, shared by all nodes.
+
+Load pattern: an engine fails a large part of its requests while callers press;
+each failure sent again would double the load on the engines that are left.
+
+A node can't see what the others send, so it keeps to its own part: a share of
+the requests that it received itself, and an equal part of the fixed extra.
+"""
+
+import collections
+import datetime
+from typing import final
+
+# Callers' requests are counted by the platform per window; a node that sees a
+# window's begin or end at another moment must not exceed either, so the ratio
+# is used up to this part only.
+RATIO_USED = 0.8
+
+# The extra is divided by the nodes that are known; while that is unknown, by
+# this many.
+DEFAULT_NODES = 8
+
+# Part of the fixed extra that is spent; the rest covers nodes that have
+# joined a moment ago.
+EXTRA_USED = 0.8
+
+
+@final
+class SecondSends:
+    """Counts requests and second sends of each service in a sliding window.
+
+    Attributes:
+        ratio: second sends allowed for each request.
+        extra: second sends allowed beside, over all nodes, in a window.
+        nodes: nodes that share the extra.
+    """
+
+    def __init__(
+        self, *, ratio: float, extra: float, window: datetime.timedelta
+    ) -> None:
+        self.ratio = ratio
+        self.extra = extra
+        self.window = window.total_seconds()
+        self.nodes = DEFAULT_NODES
+        self.requests: dict[str, collections.deque[float]] = {}
+        self.sends: dict[str, collections.deque[float]] = {}
+
+    def note_request(self, service: str, now: float) -> None:
+        """Counts a caller's request."""
+        self._recent(self.requests, service, now).append(now)
+
+    def left(self, service: str, now: float) -> float:
+        """Returns the second sends that this node may still make."""
+        requests = len(self._recent(self.requests, service, now))
+        sent = len(self._recent(self.sends, service, now))
+        allowed = (
+            self.ratio * RATIO_USED * requests
+            + self.extra * EXTRA_USED / max(1, self.nodes)
+        )
+        return allowed - sent
+
+    def take(self, service: str, now: float) -> bool:
+        """Takes one second send from the budget, if there is one."""
+        if self.left(service, now) < 1.0:
+            return False
+        self._recent(self.sends, service, now).append(now)
+        return True
+
+    def _recent(
+        self,
+        times: dict[str, collections.deque[float]],
+        service: str,
+        now: float,
+    ) -> collections.deque[float]:
+        found = times.setdefault(service, collections.deque())
+        while found and found[0] <= now - self.window:
+            found.popleft()
+        return found
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -0,0 +1,262 @@
+"""Sends a request to one engine once, and tells apart what came of it."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import datetime
+from typing import final
+
+import h11
+
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import health as health_lib
+from _dogwoodhinge.gateway import codec as codec_lib
+from _dogwoodhinge.gateway import errors
+from _dogwoodhinge.gateway import requests
+from _dogwoodhinge.http1 import connection as connection_lib
+from _dogwoodhinge.http1 import errors as http_errors
+from _dogwoodhinge.http1 import pool as pool_lib
+
+# Late answers to other requests that are read past on one connection.
+MAX_FOREIGN_ANSWERS = 3
+
+# An engine whose requests bring nothing for this long, though all of them are
+# under way, is taken to be silent; at full load a running request brings an
+# event every 60 ms.
+SILENCE_LIMIT = datetime.timedelta(milliseconds=700)
+SILENCE_CHECK = datetime.timedelta(milliseconds=150)
+
+# Statuses that promise that nothing has run; an engine's answer with one of
+# them, but without its own word for it, must not be passed on.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class BrokenAnswerError(errors.OutcomeUnknownError):
+    """An answer ended before its end."""
+
+
+class SilentEngineError(errors.OutcomeUnknownError):
+    """An engine brings nothing on any of its connections."""
+
+
+@final
+class Line:
+    """The connections to one incarnation of an engine.
+
+    Attributes:
+        last_byte_at: loop time at which any of them brought bytes.
+    """
+
+    def __init__(self, pool: pool_lib.ConnectionPool, now: float) -> None:
+        self.pool = pool
+        self.last_byte_at = now
+
+
+@final
+class OpenAnswer:
+    """An engine's answer whose head has arrived."""
+
+    def __init__(
+        self,
+        *,
+        head: requests.AnswerHead,
+        line: Line,
+        connection: connection_lib.Connection,
+    ) -> None:
+        self.head = head
+        self.line = line
+        self.connection = connection
+        self.complete = False
+
+    async def chunks(
+        self, *, silence_limit: datetime.timedelta | None = None
+    ) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Args:
+            silence_limit: the longest pause; None for any.
+
+        Raises:
+            BrokenAnswerError: it ended early.
+            SilentEngineError: the pause was too long.
+        """
+        loop = asyncio.get_running_loop()
+        limit = None
+        if silence_limit is not None:
+            limit = silence_limit.total_seconds()
+        while True:
+            try:
+                async with asyncio.timeout(limit):
+                    event = await self.connection.next_event()
+            except TimeoutError as error:
+                raise SilentEngineError("the engine fell silent") from error
+            except http_errors.HttpError as error:
+                raise BrokenAnswerError(str(error)) from error
+            self.line.last_byte_at = loop.time()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.complete = True
+                return
+            else:
+                raise BrokenAnswerError("the answer ended early")
+
+    def close(self) -> None:
+        """Keeps the connection if the answer was read whole."""
+        if self.complete and not self.head.closing:
+            if self.head.keep_alive_seconds is not None:
+                self.line.pool.note_keep_alive(self.head.keep_alive_seconds)
+            self.line.pool.release(self.connection)
+        else:
+            self.line.pool.discard(self.connection)
+
+
+@final
+class Sender:
+    """Sends requests to engines and plain endpoints."""
+
+    def __init__(
+        self,
+        *,
+        codec: codec_lib.Codec,
+        connections_per_node: Callable[[str], int],
+    ) -> None:
+        self.codec = codec
+        self.connections_per_node = connections_per_node
+        self.lines: dict[tuple[str, int], Line] = {}
+
+    async def open(
+        self,
+        engine: engines_lib.Engine,
+        request: requests.Request,
+        demand: requests.Demand,
+        *,
+        repeatable: bool,
+    ) -> OpenAnswer:
+        """Sends a request and reads the head of the answer.
+
+        Raises:
+            NotRunError: the engine did not run it.
+            OutcomeUnknownError: it may have run.
+        """
+        now = asyncio.get_running_loop().time()
+        line = self._line(engine, now)
+        try:
+            connection = await line.pool.acquire(fresh_only=not repeatable)
+        except http_errors.PoolFullError as error:
+            raise errors.NotRunError(str(error)) from error
+        except http_errors.ConnectError as error:
+            engine.health.note_failure(health_lib.Failure.UNREACHABLE, now)
+            raise errors.NotRunError(str(error), unreachable=True) from error
+        try:
+            return await self._exchange(
+                engine, line, connection, request, demand, repeatable
+            )
+        except BaseException:
+            if connection in line.pool.in_use:
+                line.pool.discard(connection)
+            raise
+
+    def forget_engine(self, engine: engines_lib.Engine) -> None:
+        """Closes the kept connections to an engine that is gone."""
+        line = self.lines.pop(engine.entry.incarnation, None)
+        if line is not None:
+            line.pool.close()
+
+    def _line(self, engine: engines_lib.Engine, now: float) -> Line:
+        entry = engine.entry
+        line = self.lines.get(entry.incarnation)
+        if line is None:
+            pool = pool_lib.ConnectionPool(
+                host=entry.host, port=entry.port, limit=1
+            )
+            line = Line(pool, now)
+            self.lines[entry.incarnation] = line
+        line.pool.limit = self.connections_per_node(entry.service)
+        if not line.pool.in_use:
+            line.last_byte_at = now
+        return line
+
+    async def _exchange(
+        self,
+        engine: engines_lib.Engine,
+        line: Line,
+        connection: connection_lib.Connection,
+        request: requests.Request,
+        demand: requests.Demand,
+        repeatable: bool,
+    ) -> OpenAnswer:
+        head = h11.Request(
+            method=request.raw.method,
+            target=request.raw.target,
+            headers=self.codec.encode_demand(request, demand),
+        )
+        events: list[h11.Event] = [head]
+        if request.raw.body:
+            events.append(h11.Data(data=request.raw.body))
+        events.append(h11.EndOfMessage())
+        try:
+            connection.send(*events)
+        except http_errors.HttpError as error:
+            raise errors.NotRunError(str(error), unreachable=True) from error
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            answer = await self._read_head(line, connection, repeatable)
+            decoded = self.codec.decode_answer(answer)
+            opened = OpenAnswer(head=decoded, line=line, connection=connection)
+            if decoded.not_run or decoded.misdirected:
+                await self._end_refused(opened)
+                raise errors.NotRunError(
+                    f"{engine.engine_id} answered {decoded.status}",
+                    misdirected=decoded.misdirected,
+                )
+            if decoded.request_id == request.request_id:
+                return opened
+            await self._read_past(opened)
+            if not connection.expect_next_answer(head):
+                break
+        raise errors.OutcomeUnknownError("the engine answered another request")
+
+    async def _read_head(
+        self,
+        line: Line,
+        connection: connection_lib.Connection,
+        repeatable: bool,
+    ) -> h11.Response:
+        loop = asyncio.get_running_loop()
+        pause = SILENCE_CHECK.total_seconds() if repeatable else None
+        while True:
+            try:
+                async with asyncio.timeout(pause):
+                    head = await self._next_response(connection)
+            except TimeoutError as error:
+                silence = loop.time() - line.last_byte_at
+                if silence > SILENCE_LIMIT.total_seconds():
+                    raise SilentEngineError("the engine is silent") from error
+                continue
+            line.last_byte_at = loop.time()
+            return head
+
+    async def _next_response(
+        self, connection: connection_lib.Connection
+    ) -> h11.Response:
+        try:
+            while True:
+                event = await connection.next_event()
+                if isinstance(event, h11.Response):
+                    return event
+                if not isinstance(event, h11.InformationalResponse):
+                    raise errors.OutcomeUnknownError("no answer came")
+        except http_errors.HttpError as error:
+            raise errors.OutcomeUnknownError(str(error)) from error
+
+    async def _end_refused(self, opened: OpenAnswer) -> None:
+        try:
+            async for _ in opened.chunks(silence_limit=SILENCE_LIMIT):
+                pass
+        except errors.OutcomeUnknownError:
+            # The refusal itself was complete; only its connection is spoilt.
+            opened.complete = False
+        opened.close()
+
+    async def _read_past(self, opened: OpenAnswer) -> None:
+        async for _ in opened.chunks(silence_limit=SILENCE_LIMIT):
+            pass
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -0,0 +1,240 @@
+"""Forwards generations: event streams from engines to callers.
+
+Load patterns: engines that die, fall silent or are taken away in the middle of
+their streams; adapters that have to be loaded first. Only whole events of
+resumable streams are passed on, so that another engine can go on behind the
+last one.
+"""
+
+import asyncio
+import datetime
+from typing import final
+
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import health as health_lib
+from _dogwoodhinge.gateway import call as call_lib
+from _dogwoodhinge.gateway import errors
+from _dogwoodhinge.gateway import event_stream
+from _dogwoodhinge.gateway import plain
+from _dogwoodhinge.gateway import requests
+from _dogwoodhinge.gateway import seats as seats_lib
+from _dogwoodhinge.gateway import second_sends as second_sends_lib
+from _dogwoodhinge.gateway import sender as sender_lib
+from _dogwoodhinge.http1 import server
+
+# A resumable stream that pauses for so long goes on elsewhere: callers leave
+# after two seconds, and a new engine needs some hundred milliseconds.
+STREAM_PAUSE_LIMIT = datetime.timedelta(milliseconds=1_100)
+
+# Adapters that an engine turned out not to hold are looked for this often.
+MAX_MISDIRECTED = 3
+
+
+@final
+class StreamForwarder:
+    """Serves routes whose answers are event streams."""
+
+    def __init__(
+        self,
+        *,
+        sender: sender_lib.Sender,
+        seats: seats_lib.SeatFinder,
+        budget: second_sends_lib.SecondSends,
+    ) -> None:
+        self.sender = sender
+        self.seats = seats
+        self.budget = budget
+
+    async def forward(self, call: call_lib.Call, reply: server.Reply) -> None:
+        """Streams an answer, over more than one engine if need be.
+
+        Raises:
+            RefusedError: not run.
+            OutcomeUnknownError: it may have run; nothing was passed on.
+        """
+        relay = Relay(call, reply)
+        misdirected = 0
+        absent_from = ""
+        while True:
+            found = await self._find(call, absent_from)
+            absent_from = ""
+            try:
+                await self._run(call, relay, found)
+                return
+            except errors.NotRunError as error:
+                call.note(f"not_run {found.engine.engine_id}: {error}")
+                if error.unreachable:
+                    call.note_unreached(found.engine.engine_id)
+                    continue
+                if error.misdirected:
+                    misdirected += 1
+                    self._forget_holding(call, found.engine)
+                    absent_from = found.engine.engine_id
+                    call.tried.pop()
+                if misdirected > MAX_MISDIRECTED or not self._may_send_again(
+                    call, same_engine=error.misdirected
+                ):
+                    raise errors.RefusedError(
+                        "engine_refused",
+                        retry_after=seats_lib.RETRY_WITHOUT_ENGINE,
+                    ) from error
+            except errors.OutcomeUnknownError as error:
+                call.may_have_run = True
+                call.note(f"broken {found.engine.engine_id}: {error}")
+                if not call.route.resumable or not self._may_send_again(
+                    call, same_engine=False
+                ):
+                    raise
+
+    async def _find(
+        self, call: call_lib.Call, absent_from: str
+    ) -> seats_lib.Found:
+        assert call.request.adapter is not None
+        target = call.route.latency_target.total_seconds()
+        found = await self.seats.find(
+            call.service,
+            call.request.adapter,
+            avoid=call.to_avoid,
+            absent_from=absent_from,
+            wait_until=call.received_at + target * seats_lib.WAIT_FOR_PLACE,
+        )
+        call.found_by = found.found_by
+        call.adapter_version = found.version or 0
+        return found
+
+    def _may_send_again(
+        self, call: call_lib.Call, *, same_engine: bool
+    ) -> bool:
+        now = asyncio.get_running_loop().time()
+        return (
+            (same_engine or call.may_try_another)
+            and call.time_left() > 0
+            and self.budget.take(call.service, now)
+        )
+
+    def _forget_holding(
+        self, call: call_lib.Call, engine: engines_lib.Engine
+    ) -> None:
+        if call.request.adapter is not None:
+            engine.holdings.pop(call.request.adapter, None)
+
+    async def _run(
+        self, call: call_lib.Call, relay: "Relay", found: seats_lib.Found
+    ) -> None:
+        engine = found.engine
+        loop = asyncio.get_running_loop()
+        size = call.request.prompt_tokens + call.request.output_tokens
+        call.tried.append(engine.engine_id)
+        engine.running += 1
+        engine.running_tokens += size
+        try:
+            opened = await self.sender.open(
+                engine,
+                call.request,
+                requests.Demand(
+                    engine_id=engine.engine_id,
+                    wait_seconds=max(0.001, call.time_left()),
+                    adapter_version=found.version,
+                    resume_after=relay.last_event_id,
+                ),
+                repeatable=call.route.resumable,
+            )
+            try:
+                await relay.pass_on(opened)
+            finally:
+                opened.close()
+            if opened.head.status >= 500:
+                engine.health.note_failure(
+                    health_lib.Failure.ERROR, loop.time()
+                )
+            else:
+                engine.health.note_success(loop.time())
+        except errors.NotRunError as error:
+            if not error.unreachable and not error.misdirected:
+                engine.health.note_failure(health_lib.Failure.SHED, loop.time())
+            raise
+        except sender_lib.SilentEngineError:
+            engine.health.note_failure(health_lib.Failure.SILENT, loop.time())
+            raise
+        except errors.OutcomeUnknownError:
+            engine.health.note_failure(
+                health_lib.Failure.BROKEN_ANSWER, loop.time()
+            )
+            raise
+        finally:
+            engine.running -= 1
+            engine.running_tokens -= size
+
+
+@final
+class Relay:
+    """The caller's side of one stream.
+
+    Attributes:
+        last_event_id: the last event that the caller has been sent.
+    """
+
+    def __init__(self, call: call_lib.Call, reply: server.Reply) -> None:
+        self.call = call
+        self.reply = reply
+        self.last_event_id = call.request.resume_after
+
+    async def pass_on(self, opened: sender_lib.OpenAnswer) -> None:
+        """Passes one engine's answer on.
+
+        Raises:
+            OutcomeUnknownError: the answer broke off.
+        """
+        head = opened.head
+        plain.check_answer(head)
+        if head.status != 200:
+            await self._pass_failure(opened)
+            return
+        if self.call.route.resumable:
+            await self._pass_events(opened)
+        else:
+            await self._pass_bytes(opened)
+        self.reply.finish()
+
+    async def _pass_failure(self, opened: sender_lib.OpenAnswer) -> None:
+        if self.reply.begun:
+            raise errors.OutcomeUnknownError(
+                f"status {opened.head.status} instead of the rest of a stream"
+            )
+        body = [chunk async for chunk in opened.chunks()]
+        if self.call.route.resumable and self.call.may_try_another:
+            raise errors.OutcomeUnknownError(f"status {opened.head.status}")
+        self.reply.answer(
+            opened.head.status, list(opened.head.headers), b"".join(body)
+        )
+
+    async def _pass_events(self, opened: sender_lib.OpenAnswer) -> None:
+        splitter = event_stream.EventSplitter()
+        chunks = opened.chunks(silence_limit=STREAM_PAUSE_LIMIT)
+        async for chunk in chunks:
+            for event in splitter.feed(chunk):
+                self._begin(opened.head)
+                await self.reply.write(event.data)
+                self.call.events += 1
+                if event.event_id is not None:
+                    self.last_event_id = event.event_id
+        if splitter.rest:
+            raise sender_lib.BrokenAnswerError(
+                "the stream ended inside an event"
+            )
+        self._begin(opened.head)
+
+    async def _pass_bytes(self, opened: sender_lib.OpenAnswer) -> None:
+        async for chunk in opened.chunks():
+            self._begin(opened.head)
+            self.call.events += 1
+            await self.reply.write(chunk)
+        self._begin(opened.head)
+
+    def _begin(self, head: requests.AnswerHead) -> None:
+        if self.reply.begun:
+            return
+        self.call.first_byte_at = asyncio.get_running_loop().time()
+        # The length of one engine's answer is not that of a resumed one, so
+        # streams are always sent in chunks.
+        self.reply.begin(head.status, list(head.headers), reason=head.reason)
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/errors.py
@@ -0,0 +1,31 @@
+"""Errors of HTTP connections."""
+
+from dogwoodhinge import errors
+
+
+class HttpError(errors.DogwoodhingeError):
+    """An HTTP connection failed."""
+
+
+class ConnectError(HttpError):
+    """No connection could be opened; nothing was sent."""
+
+
+class ConnectionLostError(HttpError):
+    """The peer closed or reset the connection before the message ended."""
+
+
+class ProtocolError(HttpError):
+    """The peer sent bytes that are no HTTP.
+
+    Attributes:
+        status: the status with which a server should answer.
+    """
+
+    def __init__(self, message: str, *, status: int = 400) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class PoolFullError(HttpError):
+    """All connections that this node may open to an endpoint are in use."""
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -0,0 +1,319 @@
+"""Accepts callers' connections and reads their requests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import dataclasses
+import datetime
+from typing import final
+
+from absl import logging
+import h11
+
+from _dogwoodhinge.http1 import connection as connection_lib
+from _dogwoodhinge.http1 import errors
+
+Header = tuple[bytes, bytes]
+
+# Used until the configuration brings the operator's own limits.
+DEFAULT_HEAD_BYTES = 16 * 1024
+
+# After an answer that precedes the end of a body, so much of the rest is read
+# and dropped for so long: closing on unread bytes would reset the answer too.
+LINGER_BYTES = 256 * 1024
+LINGER_TIMEOUT = datetime.timedelta(seconds=1)
+
+MAX_BODY_BUFFER_BYTES = 48 * 1024 * 1024  # a sixth of a small host's memory
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        head_bytes: request line and headers.
+        body_bytes: one body.
+        head_timeout: from the first byte of a head to its end.
+        idle_timeout: between two requests.
+    """
+
+    head_bytes: int = DEFAULT_HEAD_BYTES
+    body_bytes: int = 4 * 1024 * 1024
+    head_timeout: datetime.timedelta = datetime.timedelta(seconds=3)
+    idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RawRequest:
+    """A request as it was read.
+
+    Attributes:
+        method: as sent.
+        target: path and query, as sent.
+        headers: names and values as sent, in order.
+        body: the whole body, without its framing.
+        received_at: loop time at which its first line was read.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    received_at: float
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header, its name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+@final
+class Reply:
+    """Answers one request.
+
+    Attributes:
+        begun: the head has been sent.
+        finished: the whole answer has been sent.
+        last_write_at: loop time of the last write.
+    """
+
+    def __init__(
+        self, connection: connection_lib.Connection, *, close_after: bool
+    ) -> None:
+        self.connection = connection
+        self.close_after = close_after
+        self.begun = False
+        self.finished = False
+        self.status = 0
+        self.sent_bytes = 0
+
+    def begin(
+        self, status: int, headers: list[Header], *, reason: bytes = b""
+    ) -> None:
+        """Queues the head."""
+        if self.close_after:
+            headers = [*headers, (b"Connection", b"close")]
+        self.status = status
+        self.begun = True
+        self.connection.send(
+            h11.Response(status_code=status, headers=headers, reason=reason)
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Queues a part of the body and waits for room."""
+        self.sent_bytes += len(data)
+        self.connection.send(h11.Data(data=data))
+        await self.connection.drain()
+
+    def finish(self) -> None:
+        """Marks the body as complete."""
+        self.connection.send(h11.EndOfMessage())
+        self.finished = True
+
+    def answer(
+        self, status: int, headers: list[Header], body: bytes = b""
+    ) -> None:
+        """Sends a whole answer."""
+        self.begin(status, [*headers, (b"Content-Length", b"%d" % len(body))])
+        if body:
+            self.sent_bytes += len(body)
+            self.connection.send(h11.Data(data=body))
+        self.finish()
+
+    def break_off(self) -> None:
+        """Ends an answer so that it can't look complete."""
+        self.connection.close()
+
+
+Handler = Callable[[RawRequest, Reply], Awaitable[None]]
+
+
+@final
+class Server:
+    """One task for each connection, from its first request to its last.
+
+    Attributes:
+        limits: read anew for each request.
+        leaving: answers carry `Connection: close`, idle connections end.
+        active: requests being served.
+    """
+
+    def __init__(
+        self, *, handler: Handler, limits: Callable[[], Limits]
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.leaving = asyncio.Event()
+        self.active = 0
+        self.buffered_bytes = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.idle: set[connection_lib.Connection] = set()
+        self.listener: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Binds and starts to accept."""
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            self._make_connection, host, port, backlog=512
+        )
+
+    def leave(self) -> None:
+        """Lets connections end as soon as their request is answered."""
+        self.leaving.set()
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is under way."""
+        for connection in tuple(self.idle):
+            connection.close()
+
+    async def close(self) -> None:
+        """Stops accepting and drops what is left."""
+        if self.listener is not None:
+            self.listener.close()
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _make_connection(self) -> connection_lib.Connection:
+        connection = connection_lib.Connection(
+            role=h11.SERVER, max_head_bytes=self.limits().head_bytes
+        )
+        task = asyncio.get_running_loop().create_task(self._serve(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return connection
+
+    async def _serve(self, connection: connection_lib.Connection) -> None:
+        try:
+            while await self._serve_one(connection):
+                pass
+        except (errors.HttpError, TimeoutError):
+            pass  # the caller left or stalled; its request was logged
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        except Exception:
+            logging.exception("a connection ended by an unexpected error")
+            connection.abort()
+        finally:
+            self.idle.discard(connection)
+            connection.close()
+
+    async def _serve_one(self, connection: connection_lib.Connection) -> bool:
+        request = await self._read_request(connection)
+        if request is None:
+            return False
+        reply = Reply(connection, close_after=self.leaving.is_set())
+        task = asyncio.current_task()
+        self.active += 1
+        connection.cancel_when_lost(task)
+        try:
+            await self.handler(request, reply)
+        except asyncio.CancelledError:
+            if not connection.lost.is_set():
+                raise
+            if task is not None:
+                task.uncancel()
+            return False
+        finally:
+            connection.cancel_when_lost(None)
+            self.active -= 1
+            self.buffered_bytes -= len(request.body)
+        if not reply.finished:
+            reply.break_off()
+            return False
+        if reply.close_after or self.leaving.is_set():
+            return False
+        return connection.start_next_message()
+
+    async def _read_request(
+        self, connection: connection_lib.Connection
+    ) -> RawRequest | None:
+        limits = self.limits()
+        try:
+            head = await self._read_head(connection, limits)
+            if head is None:
+                return None
+            received_at = asyncio.get_running_loop().time()
+            body = await self._read_body(connection, head, limits)
+        except errors.ProtocolError as error:
+            await self._reject(connection, error.status)
+            return None
+        return RawRequest(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=tuple(
+                (bytes(name), bytes(value))
+                for name, value in head.headers.raw_items()
+            ),
+            body=body,
+            received_at=received_at,
+        )
+
+    async def _read_head(
+        self, connection: connection_lib.Connection, limits: Limits
+    ) -> h11.Request | None:
+        self.idle.add(connection)
+        wait = limits.idle_timeout + limits.head_timeout
+        try:
+            async with asyncio.timeout(wait.total_seconds()):
+                event = await connection.next_event()
+        finally:
+            self.idle.discard(connection)
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_body(
+        self,
+        connection: connection_lib.Connection,
+        head: h11.Request,
+        limits: Limits,
+    ) -> bytes:
+        if connection.parser.they_are_waiting_for_100_continue:
+            connection.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        parts: list[bytes] = []
+        size = 0
+        try:
+            # A body may take as long as its caller is prepared to wait; one
+            # that stands still for this long is given up.
+            while True:
+                async with asyncio.timeout(limits.idle_timeout.total_seconds()):
+                    event = await connection.next_event()
+                if not isinstance(event, h11.Data):
+                    break
+                size += len(event.data)
+                self.buffered_bytes += len(event.data)
+                if size > limits.body_bytes:
+                    raise errors.ProtocolError("body too large", status=413)
+                if self.buffered_bytes > MAX_BODY_BUFFER_BYTES:
+                    raise errors.ProtocolError("no room", status=503)
+                parts.append(bytes(event.data))
+        except BaseException:
+            self.buffered_bytes -= size
+            raise
+        return b"".join(parts)
+
+    async def _reject(
+        self, connection: connection_lib.Connection, status: int
+    ) -> None:
+        logging.info("request rejected while it was read: status=%d", status)
+        reply = Reply(connection, close_after=True)
+        try:
+            reply.answer(status, [])
+        except (errors.HttpError, h11.LocalProtocolError):
+            connection.abort()
+            return
+        read = 0
+        try:
+            async with asyncio.timeout(LINGER_TIMEOUT.total_seconds()):
+                while read < LINGER_BYTES:
+                    event = await connection.next_event()
+                    if not isinstance(event, h11.Data):
+                        return
+                    read += len(event.data)
+        except (errors.HttpError, TimeoutError):
+            return
