Placement by work and unread tokens; places given away once their use ends

Cause: adapters were loaded where the fewest requests ran, by figures up to 250 ms old, so bursts went to one engine; places stayed protected 0.8 s after each use, so none was free at the crest. Ruled out: slow orders (5 to 9 ms for unload and load together).

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -22,6 +22,26 @@
     ready_at: float
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """Requests on an engine.
+
+    Attributes:
+        running: requests sent to it and not ended.
+        unread_tokens: prompt tokens of those that have brought nothing yet.
+    """
+
+    running: int = 0
+    unread_tokens: int = 0
+
+    def __add__(self, other: "Work") -> "Work":
+        return Work(
+            self.running + other.running,
+            self.unread_tokens + other.unread_tokens,
+        )
+
+
 @final
 class Engine:
     """What this node believes of one engine.
@@ -31,8 +51,9 @@
         leaving: takes no new work; never taken back for an incarnation.
         listed: the list of endpoints has it.
         running: requests of this node on it.
-        running_tokens: their prompt and output tokens.
+        unread_tokens: prompt tokens of those that have brought nothing yet.
         running_elsewhere: requests of other nodes, from the last exchange.
+        unread_elsewhere: their prompt tokens that wait to be read.
         holdings: adapters on it, from the owner and from its own entry.
     """
 
@@ -41,8 +62,9 @@
         self.leaving = entry.leaving
         self.listed = True
         self.running = 0
-        self.running_tokens = 0
+        self.unread_tokens = 0
         self.running_elsewhere = 0
+        self.unread_elsewhere = 0
         self.health = health_lib.EngineHealth()
         self.holdings: dict[models.AdapterKey, Holding] = {}
 
@@ -52,10 +74,11 @@
         return self.entry.engine_id
 
     @property
-    def load(self) -> float:
-        """Requests on it for each slot, as far as known here."""
-        return (self.running + self.running_elsewhere) / max(
-            1, self.entry.slots
+    def work(self) -> Work:
+        """What runs and waits on it, as far as known here."""
+        return Work(
+            running=self.running + self.running_elsewhere,
+            unread_tokens=self.unread_tokens + self.unread_elsewhere,
         )
 
     def holds_model(self, name: str) -> bool:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -138,6 +138,26 @@
             await self._send(line, key, seat.version, load=True)
             self.placement.complete(seat.engine_id, key, at=loop.time())
 
+    async def check_unloads(self, engine_id: str) -> None:
+        """Frees the places of unloads that have ended meanwhile.
+
+        Raises:
+            EngineError: no report arrived.
+        """
+        line = self.lines.get(engine_id)
+        if line is None:
+            return
+        before = asyncio.get_running_loop().time() - REPORT_LAG.total_seconds()
+        found = await self.orders.report(line.entry)
+        held = {
+            models.AdapterKey(model.name, adapter)
+            for model in found.models.values()
+            for adapter in model.adapters
+        }
+        self.placement.end_unloads(
+            engine_id, held | found.pending.keys(), before=before
+        )
+
     async def load_model(self, engine_id: str, model: str) -> bool:
         """Orders a base model; False when the engine is busy."""
         line = self.lines[engine_id]
@@ -174,7 +194,8 @@
         reply = await self._send(line, key, 0, load=False)
         if reply is orders_lib.OrderReply.ACCEPTED:
             # It still runs there, so its place is not free yet.
-            line.in_doubt = True
+            now = asyncio.get_running_loop().time()
+            self.placement.note_unloading(line.entry.engine_id, key, now)
             raise OrderFailedError(f"{key} is still in use")
 
     async def _send(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -67,6 +67,7 @@
                 fleet_pb2.EngineUse(
                     engine_id=engine.engine_id,
                     running=engine.running,
+                    unread_tokens=engine.unread_tokens,
                     penalty_percent=int(engine.health.current(now) * 100),
                 )
                 for engine in self.directory.engines.values()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -1,7 +1,7 @@
 """The node that gives the orders: answers peers and keeps engines in shape."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 import dataclasses
 import datetime
 from typing import final
@@ -27,6 +27,10 @@
 
 TEND_EVERY = datetime.timedelta(milliseconds=150)
 
+# An adapter that was in use when its unload was ordered is looked after once
+# the engine's report, which lags behind, can show that it has left.
+UNLOAD_CHECK_AFTER = datetime.timedelta(milliseconds=600)
+
 # Between two attempts to read the state of an engine that does not answer.
 READ_AGAIN_AFTER = datetime.timedelta(milliseconds=500)
 
@@ -43,6 +47,7 @@
     version: int
     avoid: frozenset[str] = frozenset()
     absent_from: str = ""
+    prompt_tokens: int = 0
 
 
 @final
@@ -53,14 +58,14 @@
     Attributes:
         active: requests under way, by adapter.
         begun: requests begun since the last report.
-        running: requests under way, by engine.
+        work: requests under way, by engine.
         penalties: the node's judgement of engines.
     """
 
     node: str
     active: Mapping[models.AdapterKey, int]
     begun: Mapping[models.AdapterKey, int]
-    running: Mapping[str, int]
+    work: Mapping[str, engines_lib.Work]
     penalties: Mapping[str, float]
 
 
@@ -131,6 +136,7 @@
             want.version,
             self._candidates(want.key.model, now),
             avoid=want.avoid,
+            prompt_tokens=want.prompt_tokens,
             now=now,
         )
         if isinstance(found, placement_lib.NoRoom):
@@ -154,6 +160,7 @@
         self, seat: placement_lib.Seat, key: models.AdapterKey
     ) -> placement_lib.Seat:
         loop = asyncio.get_running_loop()
+        decided_at = loop.time()
         try:
             # Shielded: the asker may leave, the places must stay right.
             await asyncio.shield(self.add_future(self._carry_out(seat, key)))
@@ -170,6 +177,7 @@
                 "version": seat.version,
                 "engine": seat.engine_id,
                 "evicted": str(seat.evict or ""),
+                "ordering_ms": int((loop.time() - decided_at) * 1000),
                 "ready_in_ms": int((ready_at - loop.time()) * 1000),
                 "token": self.lease.token,
             },
@@ -193,12 +201,13 @@
         self.nodes[use.node] = NodeUse(use, now)
         self.placement.note_active(use.node, use.active, use.begun, now)
 
-    def running(self) -> dict[str, int]:
+    def work(self) -> dict[str, engines_lib.Work]:
         """Returns the requests of all nodes, by engine."""
-        total: dict[str, int] = {}
+        total: dict[str, engines_lib.Work] = {}
         for node in self.nodes.values():
-            for engine_id, count in node.use.running.items():
-                total[engine_id] = total.get(engine_id, 0) + count
+            for engine_id, work in node.use.work.items():
+                known = total.get(engine_id, engines_lib.Work())
+                total[engine_id] = known + work
         return total
 
     # Own work
@@ -250,11 +259,22 @@
             line = self.loader.lines.get(engine_id)
             if line is None or line.in_doubt:
                 self._read_soon(engine_id)
+            elif self.placement.unloading(
+                engine_id, now - UNLOAD_CHECK_AFTER.total_seconds()
+            ):
+                self._start_reading(engine_id, self._check_unloads(engine_id))
 
     def _read_soon(self, engine_id: str) -> None:
+        if engine_id not in self.reading:
+            self._start_reading(engine_id, self._read(engine_id))
+
+    def _start_reading(
+        self, engine_id: str, work: Coroutine[None, None, None]
+    ) -> None:
         if engine_id in self.reading:
+            work.close()
             return
-        task = asyncio.ensure_future(self._read(engine_id))
+        task = asyncio.ensure_future(work)
         self.reading[engine_id] = task
         task.add_done_callback(lambda _: self.reading.pop(engine_id, None))
 
@@ -274,6 +294,17 @@
             )
             await asyncio.sleep(READ_AGAIN_AFTER.total_seconds())
 
+    async def _check_unloads(self, engine_id: str) -> None:
+        try:
+            await self.loader.check_unloads(engine_id)
+        except errors.EngineError as error:
+            self.report(
+                "engine_state_unread",
+                {"engine": engine_id, "reason": str(error)},
+            )
+        # Runs that hold an adapter up may take seconds.
+        await asyncio.sleep(READ_AGAIN_AFTER.total_seconds())
+
     async def _load_base_models(self) -> None:
         now = asyncio.get_running_loop().time()
         by_service: dict[str, list[engines_lib.Engine]] = {}
@@ -306,7 +337,7 @@
     def _candidates(
         self, model: str, now: float
     ) -> list[placement_lib.Candidate]:
-        running = self.running()
+        work = self.work()
         found = []
         for engine in self._model_engines():
             engine_class = self._class_of(engine)
@@ -322,8 +353,8 @@
                 placement_lib.Candidate(
                     engine.engine_id,
                     engine_class.adapter_places,
-                    running.get(engine.engine_id, 0)
-                    / max(1, engine.entry.slots),
+                    engine.entry.slots,
+                    work.get(engine.engine_id, engines_lib.Work()),
                     penalty,
                 )
             )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -60,6 +60,7 @@
             version=request.version,
             avoid=frozenset(request.avoid),
             absent_from=request.absent_from,
+            prompt_tokens=request.prompt_tokens,
         )
         try:
             seat = await self.owner.place(want)
@@ -88,7 +89,10 @@
                 for a in request.adapters
                 if a.begun
             },
-            running={e.engine_id: e.running for e in request.engines},
+            work={
+                e.engine_id: engines_lib.Work(e.running, e.unread_tokens)
+                for e in request.engines
+            },
             penalties={
                 e.engine_id: e.penalty_percent / 100 for e in request.engines
             },
@@ -111,8 +115,12 @@
             complete=complete,
             changes=[_encode_change(change) for change in changes],
             engines=[
-                fleet_pb2.EngineUse(engine_id=engine_id, running=count)
-                for engine_id, count in self.owner.running().items()
+                fleet_pb2.EngineUse(
+                    engine_id=engine_id,
+                    running=work.running,
+                    unread_tokens=work.unread_tokens,
+                )
+                for engine_id, work in self.owner.work().items()
             ],
             nodes=len(self.owner.nodes),
         )
@@ -181,6 +189,7 @@
             version=want.version,
             avoid=sorted(want.avoid),
             absent_from=want.absent_from,
+            prompt_tokens=want.prompt_tokens,
         )
         reply: fleet_pb2.PlaceReply
         if self._is_local():
@@ -216,13 +225,15 @@
             reply = await self._call("Sync", request, SYNC_TIMEOUT)
         if reply.not_owner:
             raise owner_lib.NotOwnerError("the owner has changed")
-        self._apply(reply)
+        self._apply(request, reply)
 
     async def close(self) -> None:
         """Closes the connection."""
         self._drop_channel()
 
-    def _apply(self, reply: fleet_pb2.SyncReply) -> None:
+    def _apply(
+        self, request: fleet_pb2.SyncRequest, reply: fleet_pb2.SyncReply
+    ) -> None:
         now = asyncio.get_running_loop().time()
         self.known_token = reply.token
         self.known_change = reply.last_change
@@ -242,10 +253,18 @@
                     change.version, now + change.ready_in_ms / 1000
                 ),
             )
-        for use in reply.engines:
-            known = self.directory.engines.get(use.engine_id)
-            if known is not None:
-                known.running_elsewhere = max(0, use.running - known.running)
+        own = {use.engine_id: use for use in request.engines}
+        total = {use.engine_id: use for use in reply.engines}
+        nothing = fleet_pb2.EngineUse()
+        for engine_id, engine in self.directory.engines.items():
+            all_nodes = total.get(engine_id, nothing)
+            this_node = own.get(engine_id, nothing)
+            engine.running_elsewhere = max(
+                0, all_nodes.running - this_node.running
+            )
+            engine.unread_elsewhere = max(
+                0, all_nodes.unread_tokens - this_node.unread_tokens
+            )
 
     def _is_local(self) -> bool:
         return self.address() == self.own_address
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -17,6 +17,8 @@
 import enum
 from typing import final
 
+from _dogwoodhinge.fleet import choice
+from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import popularity as popularity_lib
 
@@ -40,16 +42,20 @@
 # A request that came too early tries again after this time.
 TOO_EARLY_PAUSE_SECONDS = 0.03
 
-# Between the answer that places an adapter and the first report of its use.
-PROTECTED_SECONDS = 0.8
+# From the moment an adapter can be used until its use is reported for certain:
+# one exchange between the nodes, and the way of a request.
+PROTECTED_SECONDS = 0.35
 
 # Adapters whose weights an engine still has in host memory, as far as its
 # report does not tell; engines keep about a hundred.
 MAX_IN_MEMORY = 100
 
+# A seat given out counts as work on its engine until the asker reports it.
+REPORTED_AFTER_SECONDS = 0.4
+
 # Costs of a place, in engine loads: a load from the store against one from
 # memory, and the loss of an adapter that is asked for once in a half-life.
-STORE_LOAD_COST = 0.25
+STORE_LOAD_COST = 0.5
 VICTIM_COST = 0.1
 
 
@@ -68,7 +74,7 @@
 
     Attributes:
         ready_at: loop time from which it serves.
-        used_at: loop time of the last known use.
+        used_at: loop time of the last known use; breaks ties.
         from_store: its load came from the weight store.
     """
 
@@ -91,10 +97,19 @@
         self.engine_id = engine_id
         self.capacity = capacity
         self.places: dict[models.AdapterKey, Place] = {}
+        self.given: collections.deque[tuple[float, int]] = collections.deque()
         self.in_memory: collections.OrderedDict[models.AdapterKey, None] = (
             collections.OrderedDict()
         )
 
+    def given_work(self, now: float) -> engines_lib.Work:
+        """Returns the work of seats that no report tells of yet."""
+        while self.given and now - self.given[0][0] > REPORTED_AFTER_SECONDS:
+            self.given.popleft()
+        return engines_lib.Work(
+            len(self.given), sum(tokens for _, tokens in self.given)
+        )
+
     def loading(self, now: float) -> int:
         """Returns how many adapters are on their way."""
         return sum(place.is_loading(now) for place in self.places.values())
@@ -113,13 +128,15 @@
     """An engine that may load adapters.
 
     Attributes:
-        load: requests on it for each slot.
+        slots: requests that it runs at once.
+        work: what runs and waits there, from the nodes' last reports.
         penalty: see `health`.
     """
 
     engine_id: str
     capacity: int
-    load: float
+    slots: int
+    work: engines_lib.Work
     penalty: float
 
 
@@ -255,6 +272,7 @@
         candidates: Iterable[Candidate],
         *,
         avoid: Collection[str],
+        prompt_tokens: int,
         now: float,
     ) -> Seat | NoRoom:
         """Finds an engine for an adapter and reserves its place.
@@ -264,14 +282,16 @@
             version: the oldest version that will do; 0 for any.
             candidates: the engines that may be used.
             avoid: engines that the asker can't use.
+            prompt_tokens: of the request that asks.
             now: loop time.
 
         Returns:
             A seat; `new` ones have to be loaded, see `complete` and `undo`.
         """
         usable = [c for c in candidates if c.engine_id not in avoid]
-        held = self._held(key, version, usable)
+        held = self._held(key, version, usable, now)
         if held is not None:
+            self._give(held.engine_id, prompt_tokens, now)
             return held
         best: tuple[float, Candidate, models.AdapterKey | None] | None = None
         for candidate in usable:
@@ -281,6 +301,7 @@
         if best is None:
             return NoRoom(self._room_after(usable, now))
         _, candidate, victim = best
+        self._give(candidate.engine_id, prompt_tokens, now)
         return self._reserve(key, version, candidate, victim, now)
 
     def complete(
@@ -302,11 +323,46 @@
         if engine is not None and engine.places.pop(key, None) is not None:
             self._note_change(engine_id, key, None, now)
 
-    def note_unloading(self, engine_id: str, key: models.AdapterKey) -> None:
+    def note_unloading(
+        self, engine_id: str, key: models.AdapterKey, now: float
+    ) -> None:
         """Notes that an adapter leaves once its runs have ended."""
         engine = self.engines.get(engine_id)
-        if engine is not None and key in engine.places:
-            engine.places[key].state = State.UNLOADING
+        if engine is not None:
+            engine.places[key] = Place(0, State.UNLOADING, now, now)
+
+    def unloading(self, engine_id: str, before: float) -> bool:
+        """Tells whether an unload that began before a loop time is open."""
+        engine = self.engines.get(engine_id)
+        return engine is not None and any(
+            place.state is State.UNLOADING and place.ready_at < before
+            for place in engine.places.values()
+        )
+
+    def end_unloads(
+        self,
+        engine_id: str,
+        still_there: Collection[models.AdapterKey],
+        *,
+        before: float,
+    ) -> None:
+        """Frees the places of unloads that a report shows to have ended.
+
+        Args:
+            engine_id: the engine that reported.
+            still_there: adapters that it holds or loads.
+            before: only unloads that began before this loop time.
+        """
+        engine = self.engines.get(engine_id)
+        if engine is None:
+            return
+        for key, place in tuple(engine.places.items()):
+            if (
+                place.state is State.UNLOADING
+                and place.ready_at < before
+                and key not in still_there
+            ):
+                del engine.places[key]
 
     def note_absent(
         self, engine_id: str, key: models.AdapterKey, now: float
@@ -355,6 +411,7 @@
         key: models.AdapterKey,
         version: int,
         usable: list[Candidate],
+        now: float,
     ) -> Seat | None:
         best: tuple[float, Seat] | None = None
         for candidate in usable:
@@ -371,17 +428,28 @@
                 version=place.version,
                 ready_at=place.ready_at,
             )
-            if best is None or candidate.load < best[0]:
-                best = (candidate.load, seat)
+            load = self._load(candidate, now)
+            if best is None or load < best[0]:
+                best = (load, seat)
         return None if best is None else best[1]
 
+    def _give(self, engine_id: str, prompt_tokens: int, now: float) -> None:
+        self.engines[engine_id].given.append((now, prompt_tokens))
+
+    def _load(self, candidate: Candidate, now: float) -> float:
+        work = candidate.work
+        engine = self.engines.get(candidate.engine_id)
+        if engine is not None:
+            work += engine.given_work(now)
+        return choice.load(work, candidate.slots)
+
     def _offer(
         self, key: models.AdapterKey, candidate: Candidate, now: float
     ) -> tuple[float, Candidate, models.AdapterKey | None] | None:
         engine = self.engines.get(candidate.engine_id)
         if engine is None or engine.loading(now) >= MAX_LOADING:
             return None
-        cost = candidate.load + candidate.penalty
+        cost = self._load(candidate, now) + candidate.penalty
         if key not in engine.in_memory:
             cost += STORE_LOAD_COST
         outdated = engine.places.get(key)
@@ -426,7 +494,7 @@
             return False
         if any(key in active for active in self.active.values()):
             return False
-        return now - max(place.ready_at, place.used_at) > PROTECTED_SECONDS
+        return now - place.ready_at > PROTECTED_SECONDS
 
     def _reserve(
         self,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -21,6 +21,7 @@
         tried: engines that it was sent to, in order.
         unreached: engines that could not be connected to.
         may_have_run: it was sent, and no engine said that it did not run.
+        sent_at: loop time of the last send to an engine.
         first_byte_at: loop time of the first byte to the caller.
     """
 
@@ -45,6 +46,7 @@
         self.unreached: set[str] = set()
         self.notes: list[str] = []
         self.may_have_run = False
+        self.sent_at: float | None = None
         self.first_byte_at: float | None = None
         self.events = 0
         self.found_by = ""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -224,7 +224,11 @@
         }
         if first_byte is not None:
             fields["first_byte_ms"] = int(first_byte * 1000)
+        if call.sent_at is not None:
+            sent = call.sent_at - call.received_at
+            fields["sent_ms"] = int(sent * 1000)
         if call.request.adapter is not None:
+            fields["prompt_tokens"] = call.request.prompt_tokens
             fields["adapter"] = str(call.request.adapter)
             fields["found_by"] = call.found_by
             fields["version"] = call.adapter_version
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -41,6 +41,7 @@
     Attributes:
         engine_id: any other engine must refuse.
         wait_seconds: the engine stops after this time.
+        urgency: 0 is admitted first, 9 last; None leaves it to the engine.
         adapter_version: an engine with another version must refuse; None
             accepts any.
         resume_after: id of the last event that the caller already has.
@@ -48,6 +49,7 @@
 
     engine_id: str
     wait_seconds: float
+    urgency: int | None = None
     adapter_version: int | None = None
     resume_after: str | None = None
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -15,19 +15,23 @@
 from _dogwoodhinge.fleet import versions as versions_lib
 from _dogwoodhinge.gateway import errors
 
-# Part of the latency target that may pass before a place is found; loading and
-# the first event take the rest.
-WAIT_FOR_PLACE = 0.5
+# Part of a caller's time that may pass before a place is found. Places become
+# free within tenths of a second, so most of those who wait are served, though
+# late; a refused caller would come back into the same crowd.
+WAIT_FOR_PLACE = 0.25
 
 ASK_AGAIN_AFTER = datetime.timedelta(milliseconds=60)
 
+MAX_PAUSE = datetime.timedelta(milliseconds=150)
+
 # While nobody gives orders, absent adapters can't be loaded. Another owner
 # takes over within some seconds.
 RETRY_WITHOUT_OWNER = datetime.timedelta(milliseconds=1_000)
 RETRY_WITHOUT_ENGINE = datetime.timedelta(milliseconds=800)
 
-# A holder with more requests than slots for this part gets company.
-CROWDED_LOAD = 1.0
+# An adapter is loaded elsewhere when the prompts that wait on its engine take
+# so much longer than those on another: more than a load and its margin.
+BACKLOG_FOR_COPY_SECONDS = 0.4
 
 
 @final
@@ -71,6 +75,7 @@
         *,
         avoid: Collection[str],
         absent_from: str,
+        prompt_tokens: int,
         wait_until: float,
     ) -> Found:
         """Finds an engine and waits until the adapter is ready on it.
@@ -80,6 +85,7 @@
             key: the adapter, or the base model alone.
             avoid: engines that were tried.
             absent_from: an engine that just said it does not have it.
+            prompt_tokens: of the request.
             wait_until: loop time up to which a place is waited for.
 
         Raises:
@@ -87,11 +93,16 @@
         """
         loop = asyncio.get_running_loop()
         while True:
-            found = await self._find_once(service, key, avoid, absent_from)
+            found = await self._find_once(
+                service, key, avoid, absent_from, prompt_tokens
+            )
             if isinstance(found, Found):
                 return found
             absent_from = ""
-            pause = ASK_AGAIN_AFTER.total_seconds()
+            pause = max(
+                ASK_AGAIN_AFTER.total_seconds(),
+                min(found.retry_after, MAX_PAUSE).total_seconds(),
+            )
             if loop.time() + pause > wait_until:
                 raise found
             await asyncio.sleep(pause)
@@ -102,6 +113,7 @@
         key: models.AdapterKey,
         avoid: Collection[str],
         absent_from: str,
+        prompt_tokens: int,
     ) -> "Found | errors.RefusedError":
         now = asyncio.get_running_loop().time()
         engines = [
@@ -118,8 +130,21 @@
         newest = self.versions.newest(key) or 0
         holders = self._usable_holders(service, key, newest, avoid, now)
         if holders and not absent_from:
-            return await self._use_holder(holders, key, newest, now)
-        return await self._place(service, key, newest, avoid, absent_from)
+            crowded = self._crowded(engines, holders)
+            if not crowded:
+                return await self._use_holder(holders, key, newest, now)
+            try:
+                return await self._place(
+                    service, key, newest, {*avoid, *crowded}, "", prompt_tokens
+                )
+            except errors.RefusedError:
+                return await self._use_holder(holders, key, newest, now)
+        try:
+            return await self._place(
+                service, key, newest, avoid, absent_from, prompt_tokens
+            )
+        except errors.RefusedError as error:
+            return error
 
     def _usable_holders(
         self,
@@ -137,6 +162,21 @@
             and not engine.health.to_be_avoided(now)
         ]
 
+    def _crowded(
+        self,
+        engines: list[engines_lib.Engine],
+        holders: list[tuple[engines_lib.Engine, engines_lib.Holding]],
+    ) -> set[str]:
+        """Returns the holders, if a load elsewhere is faster than they are."""
+        shortest = min(choice.backlog_seconds(e.work) for e in engines)
+        waits = {
+            engine.engine_id: choice.backlog_seconds(engine.work)
+            for engine, _ in holders
+        }
+        if min(waits.values()) - shortest < BACKLOG_FOR_COPY_SECONDS:
+            return set()
+        return set(waits)
+
     async def _use_holder(
         self,
         holders: list[tuple[engines_lib.Engine, engines_lib.Holding]],
@@ -178,7 +218,8 @@
         newest: int,
         avoid: Collection[str],
         absent_from: str,
-    ) -> "Found | errors.RefusedError":
+        prompt_tokens: int,
+    ) -> Found:
         now = asyncio.get_running_loop().time()
         shunned = {
             e.engine_id
@@ -190,18 +231,19 @@
             version=newest,
             avoid=frozenset(avoid) | shunned,
             absent_from=absent_from,
+            prompt_tokens=prompt_tokens,
         )
         try:
             seat = await self.link.place(want)
         except owner_lib.NoRoomError as error:
-            return errors.RefusedError(
+            raise errors.RefusedError(
                 "no_place", retry_after=error.retry_after
-            )
+            ) from error
         except owner_lib.NotOwnerError:
             return self._use_older(service, key, avoid)
         engine = self.directory.engines.get(seat.engine_id)
         if engine is None or engine.leaving:
-            return errors.RefusedError(
+            raise errors.RefusedError(
                 "engine_left", retry_after=RETRY_WITHOUT_ENGINE
             )
         engine.holdings[key] = engines_lib.Holding(seat.version, seat.ready_at)
@@ -215,7 +257,7 @@
         service: str,
         key: models.AdapterKey,
         avoid: Collection[str],
-    ) -> "Found | errors.RefusedError":
+    ) -> Found:
         """Falls back on an older version while nobody gives orders."""
         now = asyncio.get_running_loop().time()
         lowest = self.versions.lowest_allowed(key, now)
@@ -227,7 +269,7 @@
             draw=self.draw,
         )
         if engine is None:
-            return errors.RefusedError(
+            raise errors.RefusedError(
                 "no_owner", retry_after=RETRY_WITHOUT_OWNER
             )
         return Found(engine=engine, version=lowest or None, found_by="older")
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from _dogwoodhinge.fleet import choice
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.gateway import codec as codec_lib
@@ -131,9 +132,18 @@
         demand: requests.Demand,
         *,
         repeatable: bool,
+        may_leave: Callable[[], bool] | None = None,
     ) -> OpenAnswer:
         """Sends a request and reads the head of the answer.
 
+        Args:
+            engine: where to.
+            request: the caller's request.
+            demand: what is asked of the engine.
+            repeatable: it may run more than once.
+            may_leave: asked when the engine brings nothing on any connection;
+                without it, the engine's answer is waited for.
+
         Raises:
             NotRunError: the engine did not run it.
             OutcomeUnknownError: it may have run.
@@ -149,7 +159,7 @@
             raise errors.NotRunError(str(error), unreachable=True) from error
         try:
             return await self._exchange(
-                engine, line, connection, request, demand, repeatable
+                engine, line, connection, request, demand, may_leave
             )
         except BaseException:
             if connection in line.pool.in_use:
@@ -183,7 +193,7 @@
         connection: connection_lib.Connection,
         request: requests.Request,
         demand: requests.Demand,
-        repeatable: bool,
+        may_leave: Callable[[], bool] | None,
     ) -> OpenAnswer:
         head = h11.Request(
             method=request.raw.method,
@@ -199,7 +209,7 @@
         except http_errors.HttpError as error:
             raise errors.NotRunError(str(error), unreachable=True) from error
         for _ in range(MAX_FOREIGN_ANSWERS):
-            answer = await self._read_head(line, connection, repeatable)
+            answer = await self._read_head(engine, line, connection, may_leave)
             decoded = self.codec.decode_answer(answer)
             opened = OpenAnswer(head=decoded, line=line, connection=connection)
             if decoded.not_run or decoded.misdirected:
@@ -217,19 +227,23 @@
 
     async def _read_head(
         self,
+        engine: engines_lib.Engine,
         line: Line,
         connection: connection_lib.Connection,
-        repeatable: bool,
+        may_leave: Callable[[], bool] | None,
     ) -> h11.Response:
         loop = asyncio.get_running_loop()
-        pause = SILENCE_CHECK.total_seconds() if repeatable else None
+        pause = None if may_leave is None else SILENCE_CHECK.total_seconds()
         while True:
             try:
                 async with asyncio.timeout(pause):
                     head = await self._next_response(connection)
             except TimeoutError as error:
                 silence = loop.time() - line.last_byte_at
-                if silence > SILENCE_LIMIT.total_seconds():
+                limit = SILENCE_LIMIT.total_seconds() + choice.backlog_seconds(
+                    engine.work
+                )
+                if silence > limit and may_leave is not None and may_leave():
                     raise SilentEngineError("the engine is silent") from error
                 continue
             line.last_byte_at = loop.time()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -26,6 +26,11 @@
 # after two seconds, and a new engine needs some hundred milliseconds.
 STREAM_PAUSE_LIMIT = datetime.timedelta(milliseconds=1_100)
 
+# The most prompt tokens of each urgency, from the first one on; each step is
+# about four times as long to read as the one before.
+FIRST_URGENCY = 2
+URGENCY_TOKENS = (700, 2_800, 11_000)
+
 # Adapters that an engine turned out not to hold are looked for this often.
 MAX_MISDIRECTED = 3
 
@@ -90,13 +95,14 @@
         self, call: call_lib.Call, absent_from: str
     ) -> seats_lib.Found:
         assert call.request.adapter is not None
-        target = call.route.latency_target.total_seconds()
+        time = call.deadline - call.received_at
         found = await self.seats.find(
             call.service,
             call.request.adapter,
             avoid=call.to_avoid,
             absent_from=absent_from,
-            wait_until=call.received_at + target * seats_lib.WAIT_FOR_PLACE,
+            prompt_tokens=call.request.prompt_tokens,
+            wait_until=call.received_at + time * seats_lib.WAIT_FOR_PLACE,
         )
         call.found_by = found.found_by
         call.adapter_version = found.version or 0
@@ -123,10 +129,10 @@
     ) -> None:
         engine = found.engine
         loop = asyncio.get_running_loop()
-        size = call.request.prompt_tokens + call.request.output_tokens
+        unread = Unread(engine, call.request.prompt_tokens)
         call.tried.append(engine.engine_id)
+        call.sent_at = loop.time()
         engine.running += 1
-        engine.running_tokens += size
         try:
             opened = await self.sender.open(
                 engine,
@@ -134,12 +140,15 @@
                 requests.Demand(
                     engine_id=engine.engine_id,
                     wait_seconds=max(0.001, call.time_left()),
+                    urgency=urgency(call.request.prompt_tokens),
                     adapter_version=found.version,
                     resume_after=relay.last_event_id,
                 ),
                 repeatable=call.route.resumable,
+                may_leave=lambda: self._may_leave(call, engine),
             )
             try:
+                unread.end()
                 await relay.pass_on(opened)
             finally:
                 opened.close()
@@ -163,7 +172,50 @@
             raise
         finally:
             engine.running -= 1
-            engine.running_tokens -= size
+            unread.end()
+
+    def _may_leave(
+        self, call: call_lib.Call, engine: engines_lib.Engine
+    ) -> bool:
+        """Tells whether a silent engine may be left for another one."""
+        now = asyncio.get_running_loop().time()
+        others = [
+            other
+            for other in self.seats.directory.serving(call.service)
+            if other is not engine and not other.health.to_be_avoided(now)
+        ]
+        return (
+            call.may_try_another
+            and bool(others)
+            and self.budget.left(call.service, now) >= 1
+        )
+
+
+def urgency(prompt_tokens: int) -> int:
+    """Returns the urgency of a request at its engine.
+
+    A short prompt that is read first delays a long one by milliseconds; the
+    other way round it may miss its latency target.
+    """
+    for level, most in enumerate(URGENCY_TOKENS, start=FIRST_URGENCY):
+        if prompt_tokens <= most:
+            return level
+    return FIRST_URGENCY + len(URGENCY_TOKENS)
+
+
+@final
+class Unread:
+    """Counts a prompt as unread until its engine answers."""
+
+    def __init__(self, engine: engines_lib.Engine, tokens: int) -> None:
+        self.engine = engine
+        self.tokens = tokens
+        engine.unread_tokens += tokens
+
+    def end(self) -> None:
+        """Counts it no longer."""
+        self.engine.unread_tokens -= self.tokens
+        self.tokens = 0
 
 
 @final
