--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -7,6 +7,7 @@
 
 import mode
 
+from _dogwoodhinge import supervision
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import fleet_pb2
 from _dogwoodhinge.fleet import models
@@ -113,25 +114,27 @@
 
     @mode.Service.task
     async def _renew(self) -> None:
-        while not self.should_stop:
-            if not self.lease.is_mine or self.leaving:
-                await self.sleep(RENEW_RETRY.total_seconds())
-                continue
-            pause = order_lease_lib.RENEW_EVERY
-            try:
-                await self.lease.renew()
-            except errors.TableError as error:
-                self.report("order_lease_unrenewed", {"reason": str(error)})
-                pause = RENEW_RETRY
-            await self.sleep(pause.total_seconds())
+        await supervision.repeat(self, self._renew_once, report=self.report)
+
+    async def _renew_once(self) -> float:
+        if not self.lease.is_mine or self.leaving:
+            return RENEW_RETRY.total_seconds()
+        try:
+            await self.lease.renew()
+        except errors.TableError as error:
+            self.report("order_lease_unrenewed", {"reason": str(error)})
+            return RENEW_RETRY.total_seconds()
+        return order_lease_lib.RENEW_EVERY.total_seconds()
 
     @mode.Service.task
     async def _exchange(self) -> None:
-        while not self.should_stop:
-            await self._exchange_once()
-            if self.failures >= FAILURES_BEFORE_LOOK or not self.link.address():
-                await self._look()
-            await self.sleep(self._pause())
+        await supervision.repeat(self, self._exchange_step, report=self.report)
+
+    async def _exchange_step(self) -> float:
+        await self._exchange_once()
+        if self.failures >= FAILURES_BEFORE_LOOK or not self.link.address():
+            await self._look()
+        return self._pause()
 
     def _pause(self) -> float:
         if self.failures >= FAILURES_BEFORE_LOOK:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from _dogwoodhinge import supervision
 from _dogwoodhinge.fleet import base_models as base_models_lib
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
@@ -113,6 +114,7 @@
         self.base_models = base_models_lib.BaseModelLoads()
         self.nodes: dict[str, NodeUse] = {}
         self.reading: dict[str, asyncio.Task[None]] = {}
+        self.loads: set[asyncio.Task[None]] = set()
         self.leading = False
 
     # Calls of peers
@@ -163,7 +165,7 @@
         decided_at = loop.time()
         try:
             # Shielded: the asker may leave, the places must stay right.
-            await asyncio.shield(self.add_future(self._carry_out(seat, key)))
+            await asyncio.shield(self._start_load(seat, key))
         except loader_lib.OrderFailedError as error:
             self.placement.undo(seat.engine_id, key, loop.time())
             self._read_soon(seat.engine_id)
@@ -184,10 +186,14 @@
         )
         return dataclasses.replace(seat, ready_at=ready_at)
 
-    async def _carry_out(
+    def _start_load(
         self, seat: placement_lib.Seat, key: models.AdapterKey
-    ) -> None:
-        await self.loader.load(seat, key)
+    ) -> asyncio.Task[None]:
+        # Not `add_future`: a failed order there would end the service.
+        task = asyncio.ensure_future(self.loader.load(seat, key))
+        self.loads.add(task)
+        task.add_done_callback(self.loads.discard)
+        return task
 
     def take_use(self, use: Use) -> None:
         """Takes a node's report.
@@ -222,18 +228,19 @@
 
     @mode.Service.task
     async def _tend(self) -> None:
-        while not self.should_stop:
-            await self.sleep(TEND_EVERY.total_seconds())
-            if not self.lease.is_mine:
-                if self.leading:
-                    self._stop_leading()
-                continue
+        await supervision.repeat(self, self._tend_once, report=self.report)
+
+    async def _tend_once(self) -> float:
+        if self.lease.is_mine:
             if not self.leading:
                 self.leading = True
                 self.report("placement_started", {"token": self.lease.token})
             self._forget_nodes()
             self._follow_engines()
             await self._load_base_models()
+        elif self.leading:
+            self._stop_leading()
+        return TEND_EVERY.total_seconds()
 
     def _stop_leading(self) -> None:
         self.leading = False
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -169,10 +169,14 @@
         for connection in tuple(self.idle):
             connection.close()
 
-    async def close(self) -> None:
-        """Stops accepting and drops what is left."""
+    def stop_accepting(self) -> None:
+        """Closes the listening socket."""
         if self.listener is not None:
             self.listener.close()
+
+    async def close(self) -> None:
+        """Stops accepting and drops what is left."""
+        self.stop_accepting()
         for task in tuple(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
