--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -131,8 +131,10 @@
             raise OrderFailedError("the engine is not known")
         loop = asyncio.get_running_loop()
         async with line.lock:
-            if line.in_doubt:
+            if line.in_doubt or self.lines.get(seat.engine_id) is not line:
                 raise OrderFailedError("the engine's state is being read")
+            if not self.placement.is_reserved(seat, key):
+                raise OrderFailedError("the engine's state was read anew")
             if seat.evict is not None:
                 await self._unload(line, seat.evict)
             await self._send(line, key, seat.version, load=True)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -304,6 +304,19 @@
         self._give(candidate.engine_id, prompt_tokens, now)
         return self._reserve(key, version, candidate, victim, now)
 
+    def is_reserved(self, seat: Seat, key: models.AdapterKey) -> bool:
+        """Tells whether a new seat's reservation still stands.
+
+        An engine's state that was read meanwhile replaces all reservations.
+        """
+        engine = self.engines.get(seat.engine_id)
+        place = None if engine is None else engine.places.get(key)
+        if engine is None or place is None:
+            return False
+        if seat.evict is not None and seat.evict != key:
+            return seat.evict not in engine.places
+        return place.state is State.LOADING
+
     def complete(
         self, engine_id: str, key: models.AdapterKey, *, at: float
     ) -> Place | None:
