--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -19,9 +19,9 @@
 # hundred milliseconds, so it is read once the last order is older than this.
 REPORT_LAG = datetime.timedelta(milliseconds=350)
 
-# One further send of an order whose answer was lost; the engine carries out
-# at most one of the two, see above.
-SENDS = 2
+# Sends of an order whose answers are lost; the engine carries out at most one
+# of them, see above.
+SENDS = 3
 
 Report = Callable[[str, dict[str, object]], None]
 
@@ -32,7 +32,15 @@
 
 @final
 class EngineLine:
-    """What is known of one engine for ordering."""
+    """What is known of one engine for ordering.
+
+    Attributes:
+        orders_accepted: orders that the engine has accepted since its start.
+        in_doubt: the engine's state has to be read before the next order.
+        last_order_at: loop time of the last send.
+        given_up_at: `orders_accepted` when an order without an answer was
+            given up; it may still be carried out while that holds.
+    """
 
     def __init__(self, entry: models.EngineEntry) -> None:
         self.entry = entry
@@ -40,6 +48,7 @@
         self.lock = asyncio.Lock()
         self.in_doubt = True
         self.last_order_at = 0.0
+        self.given_up_at: int | None = None
 
 
 @final
@@ -228,10 +237,30 @@
                 line.orders_accepted += 1
                 return reply
             self._note_failure(line, key, reply.value, attempt)
+            if self._was_carried_out(line, reply, attempt):
+                line.orders_accepted += 1
+                return orders_lib.OrderReply.DONE
             break
+        else:
+            line.given_up_at = line.orders_accepted
         line.in_doubt = True
         raise OrderFailedError("the engine did not accept the order")
 
+    def _was_carried_out(
+        self, line: EngineLine, reply: orders_lib.OrderReply, attempt: int
+    ) -> bool:
+        """Tells whether a conflict shows that an earlier send was accepted.
+
+        Only this node gives orders, so the count can only have been raised by
+        an earlier send of the same order, unless an older order without an
+        answer is still open under the same count.
+        """
+        return (
+            attempt > 0
+            and reply is orders_lib.OrderReply.CONFLICT
+            and line.given_up_at != line.orders_accepted
+        )
+
     async def _send_once(
         self,
         line: EngineLine,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -20,6 +20,11 @@
 # its last reported use.
 SYNC_EVERY = datetime.timedelta(milliseconds=250)
 
+# While places are short, an adapter whose requests have ended should make way
+# at once; its place is held for one exchange longer than needed.
+SYNC_WHEN_SHORT = datetime.timedelta(milliseconds=100)
+SHORT_FOR = datetime.timedelta(seconds=1)
+
 # Exchanges of many nodes keep the owner busy; above this many nodes each
 # exchanges less often.
 NODES_AT_FULL_RATE = 12
@@ -140,7 +145,10 @@
         if self.failures >= FAILURES_BEFORE_LOOK:
             return LOOK_EVERY.total_seconds()
         scale = max(1.0, self.link.nodes / NODES_AT_FULL_RATE)
-        return SYNC_EVERY.total_seconds() * scale
+        now = asyncio.get_running_loop().time()
+        short = now - self.link.no_room_at < SHORT_FOR.total_seconds()
+        pause = SYNC_WHEN_SHORT if short else SYNC_EVERY
+        return pause.total_seconds() * scale
 
     async def _exchange_once(self) -> None:
         if not self.link.address():
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import math
 from typing import final
 
 import grpclib
@@ -169,6 +170,7 @@
         address: where the owner is, as `ip:port`; empty when unknown.
         nodes: nodes that take part, from the last exchange.
         peers: addresses of some of them.
+        no_room_at: loop time of the last wish that found no place.
     """
 
     def __init__(
@@ -191,6 +193,7 @@
         self.known_token = 0
         self.nodes = 0
         self.peers: tuple[str, ...] = ()
+        self.no_room_at = -math.inf
 
     async def place(
         self,
@@ -221,6 +224,7 @@
         if reply.not_owner:
             raise owner_lib.NotOwnerError("the owner has changed")
         if not reply.engine_id:
+            self.no_room_at = asyncio.get_running_loop().time()
             raise owner_lib.NoRoomError(
                 datetime.timedelta(milliseconds=reply.retry_after_ms)
             )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -56,6 +56,12 @@
         """Returns the seconds until the deadline."""
         return self.deadline - asyncio.get_running_loop().time()
 
+    def time_to_target(self) -> float:
+        """Returns the seconds until the first event would be late."""
+        target = self.route.latency_target.total_seconds()
+        now = asyncio.get_running_loop().time()
+        return self.received_at + target - now
+
     @property
     def give_up_at(self) -> float:
         """Loop time at which this node answers in the engine's place."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -31,6 +31,10 @@
 FIRST_URGENCY = 2
 URGENCY_TOKENS = (700, 2_800, 11_000)
 
+# A request that has used half of a usual target of 0.5 s, for a load.
+HURRY_SECONDS = 0.3
+HURRY_TOKENS = 2_800
+
 # Adapters that an engine turned out not to hold are looked for this often.
 MAX_MISDIRECTED = 3
 
@@ -140,7 +144,10 @@
                 requests.Demand(
                     engine_id=engine.engine_id,
                     wait_seconds=max(0.001, call.time_left()),
-                    urgency=urgency(call.request.prompt_tokens),
+                    urgency=urgency(
+                        call.request.prompt_tokens,
+                        time_to_target=call.time_to_target(),
+                    ),
                     adapter_version=found.version,
                     resume_after=relay.last_event_id,
                 ),
@@ -191,12 +198,19 @@
         )
 
 
-def urgency(prompt_tokens: int) -> int:
+def urgency(prompt_tokens: int, *, time_to_target: float) -> int:
     """Returns the urgency of a request at its engine.
 
     A short prompt that is read first delays a long one by milliseconds; the
-    other way round it may miss its latency target.
+    other way round it may miss its latency target. One that has waited for
+    its adapter goes before those that have just come.
+
+    Args:
+        prompt_tokens: size of the prompt.
+        time_to_target: seconds until an answer would be late.
     """
+    if 0 < time_to_target < HURRY_SECONDS and prompt_tokens <= HURRY_TOKENS:
+        return FIRST_URGENCY - 1
     for level, most in enumerate(URGENCY_TOKENS, start=FIRST_URGENCY):
         if prompt_tokens <= most:
             return level
--- /dev/null
+++ b/packages/dogwoodhinge/testing/fleet/test_beliefs.py
@@ -0,0 +1,245 @@
+"""Tests of what a node believes of engines, versions and configuration."""
+
+import datetime
+import random
+
+import pytest
+
+from _dogwoodhinge.fleet import applied
+from _dogwoodhinge.fleet import base_models
+from _dogwoodhinge.fleet import choice
+from _dogwoodhinge.fleet import engines
+from _dogwoodhinge.fleet import health
+from _dogwoodhinge.fleet import listing
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import popularity
+from _dogwoodhinge.fleet import versions
+
+KEY = models.AdapterKey("base", "a1")
+LIMITS = models.CallerLimits(
+    head_bytes=1,
+    body_bytes=1,
+    head_timeout=datetime.timedelta(seconds=1),
+    idle_timeout=datetime.timedelta(seconds=1),
+)
+
+
+def entry(
+    engine_id: str = "e1",
+    *,
+    leaving: bool = False,
+    born_ms: int = 1,
+    zone: str = "z1",
+    adapters: dict[str, int] | None = None,
+) -> models.EngineEntry:
+    """Returns an engine's entry."""
+    held = models.HeldModel(name="base", version=1, adapters=adapters or {})
+    return models.EngineEntry(
+        engine_id=engine_id,
+        service="llm",
+        host="127.0.0.1",
+        port=1,
+        zone=zone,
+        slots=8,
+        leaving=leaving,
+        born_ms=born_ms,
+        orders_accepted=0,
+        models={"base": held},
+    )
+
+
+def make_listing() -> listing.EndpointListing:
+    """Returns a listing whose source has answered long ago."""
+    found = listing.EndpointListing(
+        directory=engines.Directory(), report=lambda event, fields: None
+    )
+    found.source_well = True
+    found.back_at = -100.0
+    return found
+
+
+async def test_leaving_engine_is_not_used_again() -> None:
+    """A late entry may still say that it is ready."""
+    found = make_listing()
+    found.update(entry())
+    found.update(entry(leaving=True))
+    found.update(entry())
+    assert found.directory.serving("llm") == []
+
+
+async def test_late_entry_of_an_engine_that_left_brings_no_work() -> None:
+    found = make_listing()
+    found.update(entry(leaving=True))
+    found.withdraw("e1")
+    found.update(entry())
+    assert found.directory.serving("llm") == []
+
+
+async def test_restart_under_the_same_id_is_another_engine() -> None:
+    found = make_listing()
+    found.update(entry(adapters={"a1": 1}))
+    gone: list[str] = []
+    found.on_gone.append(lambda engine: gone.append(engine.engine_id))
+    found.update(entry(born_ms=2))
+    assert gone == ["e1"]
+    assert found.directory.holders("llm", KEY) == []
+
+
+async def test_withdrawn_engine_gets_no_work_at_once() -> None:
+    found = make_listing()
+    found.update(entry())
+    found.withdraw("e1")
+    assert found.directory.serving("llm") == []
+
+
+async def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while() -> None:
+    found = make_listing()
+    found.update(entry())
+    found.source_lost("down")
+    found.source_back(5.0)
+    found.replace_all([])
+    found.drop_missing()
+    assert len(found.directory.serving("llm")) == 1
+
+
+async def test_entry_still_missing_after_an_outage_is_gone() -> None:
+    found = make_listing()
+    found.update(entry())
+    found.source_lost("down")
+    found.source_back(5.0)
+    found.replace_all([])
+    found.back_at -= 10
+    found.missing = dict.fromkeys(found.missing, found.back_at + 2.2)
+    found.drop_missing()
+    assert found.directory.serving("llm") == []
+
+
+async def test_entry_that_returns_after_an_outage_holds() -> None:
+    found = make_listing()
+    found.update(entry())
+    found.source_lost("down")
+    found.source_back(5.0)
+    found.replace_all([])
+    found.update(entry())
+    assert found.missing == {}
+
+
+def test_older_configuration_is_never_applied() -> None:
+    current = applied.AppliedConfiguration(report=lambda event, fields: None)
+    for version, taken in ((4, True), (9, True), (7, False), (9, False)):
+        configuration = models.Configuration(
+            version=version, routes=(), services={}, limits=LIMITS
+        )
+        assert current.apply(configuration) is taken
+    assert current.current is not None
+    assert current.current.version == 9
+
+
+@pytest.mark.parametrize(
+    ("age", "lowest"),
+    [(0.0, 0), (2.0, 0), (3.0, 2)],
+    ids=["just_declared", "in_grace", "after_grace"],
+)
+def test_older_version_may_be_used_for_a_while(age: float, lowest: int) -> None:
+    known = versions.Versions()
+    known.declare(KEY, 2, 10.0)
+    assert known.lowest_allowed(KEY, 10.0 + age) == lowest
+
+
+def test_declaration_that_is_not_newer_changes_nothing() -> None:
+    known = versions.Versions()
+    assert known.declare(KEY, 3, 0.0)
+    assert not known.declare(KEY, 2, 1.0)
+    assert known.newest(KEY) == 3
+
+
+def test_failing_engine_is_avoided_and_tried_again() -> None:
+    judged = health.EngineHealth()
+    judged.note_failure(health.Failure.SILENT, 0.0)
+    assert judged.to_be_avoided(0.5)
+    assert not judged.to_be_avoided(5.0)
+
+
+def test_successes_outweigh_a_single_error() -> None:
+    judged = health.EngineHealth()
+    judged.note_failure(health.Failure.ERROR, 0.0)
+    for _ in range(10):
+        judged.note_success(0.1)
+    assert judged.current(0.1) < 0.05
+
+
+@pytest.mark.parametrize(
+    ("better", "worse"),
+    [
+        ({"running": 0}, {"running": 6}),
+        ({"running": 4}, {"unread": 40_000}),
+        ({"running": 6}, {"penalty": 2.0}),
+    ],
+    ids=["fewer_requests", "fewer_unread_tokens", "no_failures"],
+)
+def test_better_engine_is_chosen(
+    better: dict[str, float], worse: dict[str, float]
+) -> None:
+    def build(engine_id: str, state: dict[str, float]) -> engines.Engine:
+        engine = engines.Engine(entry(engine_id))
+        engine.running = int(state.get("running", 0))
+        engine.unread_tokens = int(state.get("unread", 0))
+        engine.health.penalty = state.get("penalty", 0.0)
+        return engine
+
+    candidates = [build("worse", worse), build("better", better)]
+    chosen = choice.choose(
+        candidates, zone="z1", now=0.0, draw=random.Random(1)
+    )
+    assert chosen is not None
+    assert chosen.engine_id == "better"
+
+
+def test_popularity_halves_with_time() -> None:
+    known = popularity.Popularity()
+    known.note_uses(KEY, 8, 0.0)
+    half_life = popularity.HALF_LIFE.total_seconds()
+    assert known.score(KEY, 2 * half_life) == pytest.approx(2.0)
+
+
+def engine_class(loads_per_second: float) -> models.EngineClass:
+    """Returns what engines of the tests have."""
+    base = models.BaseModel(
+        name="base", size_mb=60, load_time=datetime.timedelta(seconds=2)
+    )
+    return models.EngineClass(
+        request_slots=8,
+        memory_tokens=1,
+        weights_mb=66,
+        adapter_places=3,
+        loads_per_second=loads_per_second,
+        base_models={"base": base},
+    )
+
+
+def test_base_models_are_loaded_few_at_a_time() -> None:
+    loads = base_models.BaseModelLoads()
+    empty = [base_models.EmptyEngine(f"e{n}", "llm") for n in range(5)]
+    chosen = loads.choose(
+        empty, engine_class=engine_class(10), copies={}, now=0.0
+    )
+    assert len(chosen) == base_models.MAX_AT_ONCE
+    loads.note_ended("e0")
+    chosen = loads.choose(
+        empty[1:], engine_class=engine_class(10), copies={}, now=1.5
+    )
+    assert [engine_id for engine_id, _ in chosen] == ["e2"]
+
+
+def test_model_that_does_not_fit_is_never_ordered() -> None:
+    loads = base_models.BaseModelLoads()
+    small = models.EngineClass(
+        request_slots=8,
+        memory_tokens=1,
+        weights_mb=10,
+        adapter_places=3,
+        loads_per_second=5,
+        base_models=engine_class(5).base_models,
+    )
+    empty = [base_models.EmptyEngine("e1", "llm")]
+    assert loads.choose(empty, engine_class=small, copies={}, now=0.0) == []
--- /dev/null
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -0,0 +1,265 @@
+"""Tests of orders to engines whose answers are late or lost."""
+
+import collections
+import dataclasses
+
+import pytest
+
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import loader as loader_lib
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import orders
+from _dogwoodhinge.fleet import placement as placement_lib
+from dogwoodhinge import errors
+
+ENTRY = models.EngineEntry(
+    engine_id="e1",
+    service="llm",
+    host="127.0.0.1",
+    port=1,
+    zone="z1",
+    slots=8,
+    leaving=False,
+    born_ms=1,
+    orders_accepted=0,
+    models={},
+)
+KEY = models.AdapterKey("base", "a1")
+OTHER = models.AdapterKey("base", "a2")
+
+
+@dataclasses.dataclass
+class FakeOrders:
+    """An engine that checks the count of orders, and loses answers.
+
+    Attributes:
+        lose: how many of the next answers are lost; True where the order is
+            carried out all the same.
+    """
+
+    accepted: int = 0
+    residents: set[models.AdapterKey] = dataclasses.field(default_factory=set)
+    in_use: set[models.AdapterKey] = dataclasses.field(default_factory=set)
+    lose: collections.deque[bool] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    sent: list[tuple[str, models.AdapterKey, int]] = dataclasses.field(
+        default_factory=list
+    )
+
+    async def load_adapter(
+        self,
+        entry: models.EngineEntry,
+        key: models.AdapterKey,
+        *,
+        version: int,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        """Loads an adapter."""
+        return self._take("load", key, orders_accepted)
+
+    async def unload_adapter(
+        self,
+        entry: models.EngineEntry,
+        key: models.AdapterKey,
+        *,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        """Unloads an adapter."""
+        return self._take("unload", key, orders_accepted)
+
+    async def load_model(
+        self,
+        entry: models.EngineEntry,
+        model: str,
+        *,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        """Loads a base model."""
+        return self._take("model", models.AdapterKey(model, ""), 0)
+
+    async def report(self, entry: models.EngineEntry) -> models.EngineReport:
+        """Tells what is resident."""
+        held = models.HeldModel(
+            name="base",
+            version=1,
+            adapters={key.adapter: 1 for key in self.residents},
+        )
+        return models.EngineReport(
+            orders_accepted=self.accepted,
+            waiting=0,
+            running=0,
+            born_ms=1,
+            models={"base": held},
+            pending={},
+        )
+
+    def _take(
+        self, operation: str, key: models.AdapterKey, count: int
+    ) -> orders.OrderReply:
+        self.sent.append((operation, key, count))
+        carried_out = True
+        lost = bool(self.lose)
+        if lost:
+            carried_out = self.lose.popleft()
+        reply = orders.OrderReply.CONFLICT
+        if carried_out and count == self.accepted:
+            reply = self._carry_out(operation, key)
+        if lost:
+            raise errors.EngineOutcomeUnknownError("no answer")
+        return reply
+
+    def _carry_out(
+        self, operation: str, key: models.AdapterKey
+    ) -> orders.OrderReply:
+        self.accepted += 1
+        if operation == "load":
+            self.residents.add(key)
+            return orders.OrderReply.ACCEPTED
+        if key in self.in_use:
+            return orders.OrderReply.ACCEPTED
+        self.residents.discard(key)
+        return orders.OrderReply.DONE
+
+
+@dataclasses.dataclass
+class Bench:
+    """A loader over one fake engine with one place."""
+
+    engine: FakeOrders
+    placement: placement_lib.Placement
+    loader: loader_lib.Loader
+    may_order: bool = True
+
+    def reserve(self, key: models.AdapterKey, now: float) -> placement_lib.Seat:
+        """Reserves a place."""
+        candidate = placement_lib.Candidate("e1", 1, 8, engines_lib.Work(), 0.0)
+        seat = self.placement.find(
+            key, 0, [candidate], avoid=(), prompt_tokens=0, now=now
+        )
+        assert isinstance(seat, placement_lib.Seat)
+        return seat
+
+
+@pytest.fixture
+async def bench() -> Bench:
+    engine = FakeOrders()
+    placement = placement_lib.Placement()
+    found = Bench(engine, placement, None)  # type: ignore[arg-type]
+    found.loader = loader_lib.Loader(
+        orders=engine,
+        placement=placement,
+        may_order=lambda: found.may_order,
+        token=lambda: 1,
+        report=lambda event, fields: None,
+    )
+    await found.loader.read_state(ENTRY, capacity=1)
+    return found
+
+
+async def test_load_states_the_orders_accepted_so_far(bench: Bench) -> None:
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    assert bench.engine.sent == [("load", KEY, 0)]
+    assert bench.loader.lines["e1"].orders_accepted == 1
+
+
+async def test_order_without_an_answer_is_sent_again_unchanged(
+    bench: Bench,
+) -> None:
+    bench.engine.lose.append(False)
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    assert bench.engine.sent == [("load", KEY, 0), ("load", KEY, 0)]
+    assert bench.engine.accepted == 1
+
+
+async def test_conflict_after_a_lost_answer_shows_that_it_was_carried_out(
+    bench: Bench,
+) -> None:
+    bench.engine.lose.append(True)
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    line = bench.loader.lines["e1"]
+    assert (line.orders_accepted, line.in_doubt) == (1, False)
+    assert bench.engine.residents == {KEY}
+
+
+async def test_order_that_stays_unanswered_puts_the_engine_in_doubt(
+    bench: Bench,
+) -> None:
+    bench.engine.lose.extend([False] * loader_lib.SENDS)
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    assert bench.loader.lines["e1"].in_doubt
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+
+
+async def test_conflict_is_not_trusted_while_an_older_order_is_open(
+    bench: Bench,
+) -> None:
+    """The older order, carried out late, raises the count as well."""
+    bench.engine.lose.extend([False] * loader_lib.SENDS)
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    await bench.loader.read_state(ENTRY, capacity=1)
+    bench.engine.lose.append(False)
+    seat = bench.reserve(OTHER, 10.0)
+    original = bench.engine.load_adapter
+
+    async def late_order_comes_between(
+        entry: models.EngineEntry,
+        key: models.AdapterKey,
+        *,
+        version: int,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        if len(bench.engine.lose) == 0:
+            bench.engine.accepted = max(1, bench.engine.accepted)
+        return await original(
+            entry,
+            key,
+            version=version,
+            orders_accepted=orders_accepted,
+            token=token,
+        )
+
+    bench.engine.load_adapter = late_order_comes_between  # type: ignore
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(seat, OTHER)
+    assert bench.loader.lines["e1"].in_doubt
+
+
+async def test_no_order_without_the_right(bench: Bench) -> None:
+    seat = bench.reserve(KEY, 0.0)
+    bench.may_order = False
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(seat, KEY)
+    assert bench.engine.sent == []
+
+
+async def test_adapter_in_use_is_not_replaced(bench: Bench) -> None:
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    bench.engine.in_use.add(KEY)
+    seat = bench.reserve(OTHER, 1e9)
+    assert seat.evict == KEY
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(seat, OTHER)
+    assert [operation for operation, _, _ in bench.engine.sent] == [
+        "load",
+        "unload",
+    ]
+    assert KEY in bench.placement.engines["e1"].places
+
+
+async def test_load_whose_reservation_is_gone_is_not_ordered(
+    bench: Bench,
+) -> None:
+    """Regression: it was ordered uncounted and the engine overfilled."""
+    seat = bench.reserve(KEY, 0.0)
+    await bench.loader.read_state(ENTRY, capacity=1)
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(seat, KEY)
+    assert bench.engine.sent == []
--- /dev/null
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -0,0 +1,313 @@
+"""Tests of where adapters are placed and what makes way for them."""
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from _dogwoodhinge.fleet import engines
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import placement as placement_lib
+
+CAPACITY = 3
+SLOTS = 8
+
+
+def key(number: int) -> models.AdapterKey:
+    """Returns the key of adapter `number`."""
+    return models.AdapterKey("base", f"a{number}")
+
+
+def candidate(
+    engine_id: str, *, running: int = 0, unread: int = 0
+) -> placement_lib.Candidate:
+    """Returns an engine as the owner sees it."""
+    work = engines.Work(running, unread)
+    return placement_lib.Candidate(engine_id, CAPACITY, SLOTS, work, 0.0)
+
+
+def make(
+    *engine_ids: str, in_memory: tuple[int, ...] = ()
+) -> placement_lib.Placement:
+    """Returns a placement over empty engines."""
+    placement = placement_lib.Placement()
+    for engine_id in engine_ids:
+        placement.set_engine(
+            engine_id,
+            capacity=CAPACITY,
+            residents={},
+            pending={},
+            in_memory=map(key, in_memory),
+            now=0.0,
+        )
+    return placement
+
+
+def find(
+    placement: placement_lib.Placement,
+    number: int,
+    *candidates: placement_lib.Candidate,
+    now: float,
+    version: int = 0,
+    avoid: frozenset[str] = frozenset(),
+    prompt_tokens: int = 100,
+) -> placement_lib.Seat | placement_lib.NoRoom:
+    """Asks for a place."""
+    return placement.find(
+        key(number),
+        version,
+        candidates,
+        avoid=avoid,
+        prompt_tokens=prompt_tokens,
+        now=now,
+    )
+
+
+def load(
+    placement: placement_lib.Placement, number: int, engine_id: str, now: float
+) -> placement_lib.Seat:
+    """Places an adapter on an engine and completes its load."""
+    seat = find(placement, number, candidate(engine_id), now=now)
+    assert isinstance(seat, placement_lib.Seat)
+    placement.complete(engine_id, key(number), at=now)
+    return seat
+
+
+def test_adapter_that_is_held_is_not_loaded_again() -> None:
+    placement = make("e1", "e2")
+    load(placement, 1, "e1", 0.0)
+    seat = find(placement, 1, candidate("e1"), candidate("e2"), now=1.0)
+    assert isinstance(seat, placement_lib.Seat)
+    assert (seat.engine_id, seat.new) == ("e1", False)
+
+
+def test_held_on_an_avoided_engine_is_loaded_on_another() -> None:
+    placement = make("e1", "e2")
+    load(placement, 1, "e1", 0.0)
+    seat = find(
+        placement,
+        1,
+        candidate("e1"),
+        candidate("e2"),
+        now=1.0,
+        avoid=frozenset({"e1"}),
+    )
+    assert isinstance(seat, placement_lib.Seat)
+    assert (seat.engine_id, seat.new) == ("e2", True)
+
+
+def test_least_popular_adapter_makes_way() -> None:
+    placement = make("e1")
+    for number in (1, 2, 3):
+        load(placement, number, "e1", 0.0)
+    uses = {key(1): 5, key(2): 1, key(3): 4}
+    placement.note_active("node", {}, uses, 1.0)
+    seat = find(placement, 4, candidate("e1"), now=2.0)
+    assert isinstance(seat, placement_lib.Seat)
+    assert seat.evict == key(2)
+
+
+def test_adapter_in_use_never_makes_way() -> None:
+    placement = make("e1")
+    for number in (1, 2, 3):
+        load(placement, number, "e1", 0.0)
+    active = {key(1): 1, key(2): 1, key(3): 1}
+    placement.note_active("node", active, {}, 1.0)
+    assert isinstance(
+        find(placement, 4, candidate("e1"), now=2.0), placement_lib.NoRoom
+    )
+
+
+def test_adapter_just_loaded_is_protected_until_its_use_is_reported() -> None:
+    placement = make("e1")
+    for number in (1, 2, 3):
+        load(placement, number, "e1", 0.0)
+    ready = placement.load_seconds
+    early = ready + placement_lib.PROTECTED_SECONDS / 2
+    late = ready + placement_lib.PROTECTED_SECONDS * 2
+    assert isinstance(
+        find(placement, 4, candidate("e1"), now=early), placement_lib.NoRoom
+    )
+    assert isinstance(
+        find(placement, 4, candidate("e1"), now=late), placement_lib.Seat
+    )
+
+
+def test_outdated_version_makes_way_before_unpopular_ones() -> None:
+    placement = make("e1")
+    for number in (1, 2, 3):
+        load(placement, number, "e1", 0.0)
+    placement.note_active("node", {}, {key(1): 9}, 1.0)
+    placement.declare(key(1), 2)
+    seat = find(placement, 4, candidate("e1"), now=2.0)
+    assert isinstance(seat, placement_lib.Seat)
+    assert seat.evict == key(1)
+
+
+def test_newer_version_takes_the_place_of_the_older_one() -> None:
+    placement = make("e1")
+    load(placement, 1, "e1", 0.0)
+    placement.declare(key(1), 2)
+    seat = find(placement, 1, candidate("e1"), now=2.0, version=2)
+    assert isinstance(seat, placement_lib.Seat)
+    assert (seat.evict, seat.version, seat.new) == (key(1), 2, True)
+
+
+def test_engine_that_still_has_the_weights_goes_before_an_idler_one() -> None:
+    placement = make("e1", "e2")
+    placement.engines["e1"].note_in_memory(key(7))
+    seat = find(
+        placement, 7, candidate("e1", running=2), candidate("e2"), now=0.0
+    )
+    assert isinstance(seat, placement_lib.Seat)
+    assert seat.engine_id == "e1"
+    assert seat.ready_at < placement.load_seconds / 2
+
+
+def test_burst_of_rare_adapters_is_spread_before_any_report() -> None:
+    """Regression: reports are 250 ms old, so a burst went to one engine."""
+    placement = make("e1", "e2", "e3")
+    seats = [
+        find(
+            placement,
+            number,
+            candidate("e1"),
+            candidate("e2"),
+            candidate("e3"),
+            now=0.001 * number,
+        )
+        for number in range(6)
+    ]
+    engine_ids = [
+        seat.engine_id for seat in seats if isinstance(seat, placement_lib.Seat)
+    ]
+    assert sorted(engine_ids) == ["e1", "e1", "e2", "e2", "e3", "e3"]
+
+
+def test_unread_prompt_weighs_more_than_running_requests() -> None:
+    placement = make("e1", "e2")
+    seat = find(
+        placement,
+        1,
+        candidate("e1", running=1, unread=40_000),
+        candidate("e2", running=4),
+        now=0.0,
+    )
+    assert isinstance(seat, placement_lib.Seat)
+    assert seat.engine_id == "e2"
+
+
+def test_no_more_loads_at_once_than_an_engine_takes() -> None:
+    placement = placement_lib.Placement()
+    placement.set_engine(
+        "e1", capacity=10, residents={}, pending={}, in_memory=(), now=0.0
+    )
+    wide = placement_lib.Candidate("e1", 10, SLOTS, engines.Work(), 0.0)
+    found = [
+        find(placement, number, wide, now=0.0)
+        for number in range(placement_lib.MAX_LOADING + 1)
+    ]
+    assert [isinstance(seat, placement_lib.Seat) for seat in found] == [
+        *[True] * placement_lib.MAX_LOADING,
+        False,
+    ]
+
+
+def test_request_that_came_too_early_prolongs_the_estimate() -> None:
+    placement = make("e1")
+    load(placement, 1, "e1", 0.0)
+    before = placement.load_seconds
+    now = before + 0.01
+    placement.note_absent("e1", key(1), now)
+    assert placement.load_seconds > before
+    place = placement.engines["e1"].places[key(1)]
+    assert place.ready_at == pytest.approx(
+        now + placement_lib.TOO_EARLY_PAUSE_SECONDS
+    )
+
+
+def test_adapter_found_absent_long_after_its_load_is_forgotten() -> None:
+    placement = make("e1")
+    load(placement, 1, "e1", 0.0)
+    placement.note_absent("e1", key(1), 5.0)
+    assert key(1) not in placement.engines["e1"].places
+
+
+def test_state_read_anew_ends_open_reservations() -> None:
+    """Regression: they were ordered uncounted, and an engine overfilled."""
+    placement = make("e1")
+    seat = find(placement, 1, candidate("e1"), now=0.0)
+    assert isinstance(seat, placement_lib.Seat)
+    assert placement.is_reserved(seat, key(1))
+    placement.set_engine(
+        "e1",
+        capacity=CAPACITY,
+        residents={},
+        pending={},
+        in_memory=(),
+        now=0.1,
+    )
+    assert not placement.is_reserved(seat, key(1))
+
+
+def test_unload_of_an_adapter_in_use_keeps_its_place_until_it_is_gone() -> None:
+    placement = make("e1")
+    for number in (1, 2, 3):
+        load(placement, number, "e1", 0.0)
+    seat = find(placement, 4, candidate("e1"), now=2.0)
+    assert isinstance(seat, placement_lib.Seat)
+    assert seat.evict is not None
+    placement.undo("e1", key(4), 2.0)
+    placement.note_unloading("e1", seat.evict, 2.0)
+    assert len(placement.engines["e1"].places) == CAPACITY
+    placement.end_unloads("e1", {seat.evict}, before=3.0)
+    assert len(placement.engines["e1"].places) == CAPACITY
+    placement.end_unloads("e1", set(), before=3.0)
+    assert len(placement.engines["e1"].places) == CAPACITY - 1
+
+
+def test_changes_tell_peers_what_came_and_went() -> None:
+    placement = make("e1")
+    start = placement.last_change
+    load(placement, 1, "e1", 0.0)
+    placement.undo("e1", key(1), 1.0)
+    changes = placement.changes_since(start)
+    assert changes is not None
+    assert [(c.key, c.version) for c in changes][-1] == (key(1), None)
+    assert placement.changes_since(placement.last_change) == []
+
+
+def test_peer_that_missed_too_much_is_told_everything() -> None:
+    placement = make("e1")
+    for number in range(placement_lib.MAX_CHANGES):
+        load(placement, number % 2, "e1", 10.0 * number)
+        placement.undo("e1", key(number % 2), 10.0 * number + 5)
+    assert placement.changes_since(1) is None
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 12),
+            strategies.floats(0.0, 0.5),
+            strategies.booleans(),
+        ),
+        max_size=60,
+    )
+)
+def test_no_engine_is_ever_overfilled(
+    steps: list[tuple[int, float, bool]],
+) -> None:
+    placement = make("e1", "e2")
+    now = 0.0
+    for number, pause, active in steps:
+        now += pause
+        in_use = {key(number): 1} if active else {}
+        placement.note_active("node", in_use, {key(number): 1}, now)
+        seat = find(
+            placement, number, candidate("e1"), candidate("e2"), now=now
+        )
+        if isinstance(seat, placement_lib.Seat) and seat.new:
+            placement.complete(seat.engine_id, key(number), at=now)
+        for engine in placement.engines.values():
+            assert len(engine.places) <= CAPACITY
+            assert engine.loading(now) <= placement_lib.MAX_LOADING
