--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -187,7 +187,11 @@
         if closed:
             return False
         self.parser = self._new_parser()
-        self.parser.send(request)
+        # Only the method matters for reading; the body was sent long ago.
+        again = h11.Request(
+            method=request.method, target=b"/", headers=[(b"Host", b"")]
+        )
+        self.parser.send(again)
         self.parser.send(h11.EndOfMessage())
         self.unparsed = len(rest)
         if rest:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -128,6 +128,17 @@
         self.connection.close()
 
 
+def _check_framing(head: h11.Request) -> None:
+    """Rejects a body whose end others might see elsewhere.
+
+    Raises:
+        ProtocolError: both a length and chunks are declared.
+    """
+    names = {bytes(name) for name, _ in head.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        raise errors.ProtocolError("both a length and chunks")
+
+
 Handler = Callable[[RawRequest, Reply], Awaitable[None]]
 
 
@@ -242,6 +253,7 @@
             if head is None:
                 return None
             received_at = asyncio.get_running_loop().time()
+            _check_framing(head)
             body = await self._read_body(connection, head, limits)
         except errors.ProtocolError as error:
             await self._reject(connection, error.status)
