--- a/Makefile
+++ b/Makefile
@@ -3,21 +3,27 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-SOURCES := packages tools
+SOURCES := packages platform tools
 DEMO_SECONDS ?= 5
 FAULTS ?= --core
 
-.PHONY: venv test demo format lint types check faults measure slopes footprint times proto
+.PHONY: venv test test-platform demo format lint types check faults measure slopes footprint times proto
 
 venv: $(VENV)/.installed
 
-$(VENV)/.installed: requirements-dev.txt constraints.txt packages/dogwoodhinge/pyproject.toml packages/dogwoodctl/pyproject.toml packages/dogwoodhinge-lab/pyproject.toml
+$(VENV)/.installed: requirements-dev.txt constraints.txt packages/dogwoodhinge/pyproject.toml packages/dogwoodctl/pyproject.toml packages/dogwoodhinge-lab/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements-dev.txt
 	touch $@
 
 test: venv
 	$(BIN)/python -m pytest $(TESTS)
+	$(MAKE) test-platform
+
+# In its own folder: seen from the root, it would hide the standard module that
+# has its name.
+test-platform: venv
+	cd platform && $(abspath $(BIN))/python -m pytest
 
 demo: venv
 	$(BIN)/python -m dogwoodhinge_lab.demo --demo_seconds=$(DEMO_SECONDS)
@@ -32,7 +38,7 @@
 	$(BIN)/python tools/check_imports.py $(SOURCES)
 
 types: venv
-	$(BIN)/mypy packages/dogwoodhinge/src packages/dogwoodctl/src packages/dogwoodhinge-lab/src
+	$(BIN)/mypy packages/dogwoodhinge/src packages/dogwoodctl/src packages/dogwoodhinge-lab/src platform/dogwoodhinge_platform
 
 check: lint types test
 
@@ -56,4 +62,4 @@
 # The generated code is committed; only a change of peer.proto needs this.
 proto: venv
 	cd packages/dogwoodhinge/src && PATH="$(abspath $(BIN)):$$PATH" $(abspath $(BIN))/python -m grpc_tools.protoc \
-	  -I. --python_out=. --pyi_out=. --grpclib_python_out=. _dogwoodhinge/peer/peer.proto
+	  -I. --python_out=. --pyi_out=. --grpclib_python_out=. _dogwoodhinge/peer/peer.proto _dogwoodhinge/fleet/fleet.proto
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -271,8 +271,8 @@
                 self.placement.drop_engine(engine_id, now)
                 self.base_models.note_ended(engine_id)
         for engine_id in current:
-            line = self.loader.lines.get(engine_id)
-            if line is None or line.in_doubt:
+            known = self.loader.lines.get(engine_id)
+            if known is None or known.in_doubt:
                 self._read_soon(engine_id)
             elif self.placement.unloading(
                 engine_id, now - UNLOAD_CHECK_AFTER.total_seconds()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -1,10 +1,10 @@
 """An entry node's side of the exchange with the owner, and the peer server."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import datetime
 import math
-from typing import final
+from typing import TypeAlias, TypeVar, final
 
 import grpclib
 from grpclib import client as grpc_client
@@ -25,6 +25,18 @@
 SYNC_TIMEOUT = datetime.timedelta(milliseconds=500)
 
 
+Reply = TypeVar("Reply")
+
+PlaceStream: TypeAlias = grpc_server.Stream[
+    fleet_pb2.PlaceRequest, fleet_pb2.PlaceReply
+]
+SyncStream: TypeAlias = grpc_server.Stream[
+    fleet_pb2.SyncRequest, fleet_pb2.SyncReply
+]
+LeaseStream: TypeAlias = grpc_server.Stream[
+    fleet_pb2.LeaseCall, fleet_pb2.LeaseAnswer
+]
+
 # Peers that each node knows, for when it is cut off from the store.
 MAX_PEERS_TOLD = 5
 
@@ -43,27 +55,27 @@
         self.owner = owner
         self.lease_table = lease_table
 
-    async def Place(  # noqa: N802 - named by the protocol
+    async def Place(
         self,
-        stream: "grpc_server.Stream[fleet_pb2.PlaceRequest, fleet_pb2.PlaceReply]",
+        stream: PlaceStream,
     ) -> None:
         """Finds or loads an adapter."""
         request = await stream.recv_message()
         if request is not None:
             await stream.send_message(await self.place(request))
 
-    async def Sync(  # noqa: N802 - named by the protocol
+    async def Sync(
         self,
-        stream: "grpc_server.Stream[fleet_pb2.SyncRequest, fleet_pb2.SyncReply]",
+        stream: SyncStream,
     ) -> None:
         """Exchanges use and places."""
         request = await stream.recv_message()
         if request is not None:
             await stream.send_message(self.sync(request))
 
-    async def RelayLease(  # noqa: N802 - named by the protocol
+    async def RelayLease(
         self,
-        stream: "grpc_server.Stream[fleet_pb2.LeaseCall, fleet_pb2.LeaseAnswer]",
+        stream: LeaseStream,
     ) -> None:
         """Reaches the lease's row for a peer."""
         request = await stream.recv_message()
@@ -216,11 +228,10 @@
             absent_from=want.absent_from,
             prompt_tokens=want.prompt_tokens,
         )
-        reply: fleet_pb2.PlaceReply
         if self._is_local():
             reply = await self.local.place(request)
         else:
-            reply = await self._call("Place", request, timeout)
+            reply = await self._call(lambda stub: stub.Place(request), timeout)
         if reply.not_owner:
             raise owner_lib.NotOwnerError("the owner has changed")
         if not reply.engine_id:
@@ -248,7 +259,9 @@
         if self._is_local():
             reply = self.local.sync(request)
         else:
-            reply = await self._call("Sync", request, SYNC_TIMEOUT)
+            reply = await self._call(
+                lambda stub: stub.Sync(request), SYNC_TIMEOUT
+            )
         if reply.not_owner:
             raise owner_lib.NotOwnerError("the owner has changed")
         self._apply(request, reply)
@@ -299,15 +312,17 @@
         return self.address() == self.own_address
 
     async def _call(
-        self, method: str, request: object, timeout: datetime.timedelta
-    ) -> "fleet_pb2.PlaceReply | fleet_pb2.SyncReply":
+        self,
+        call: Callable[[fleet_grpc.FleetStub], Awaitable[Reply]],
+        timeout: datetime.timedelta,
+    ) -> Reply:
         address = self.address()
         if not address:
             raise owner_lib.NotOwnerError("no node gives orders now")
         stub = fleet_grpc.FleetStub(self._channel_to(address))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                return await getattr(stub, method)(request)
+                return await call(stub)
         except (
             OSError,
             TimeoutError,
@@ -317,7 +332,7 @@
             # A silent connection shows only here; the next call opens anew.
             self._drop_channel()
             raise OwnerUnreachableError(
-                f"{method} at {address}: {error or 'timed out'}"
+                f"{address}: {error or 'timed out'}"
             ) from error
 
     def _channel_to(self, address: str) -> grpc_client.Channel:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import socket
-from typing import cast, final
+from typing import TypeAlias, cast, final
 
 import h11
 
@@ -22,7 +22,7 @@
 # is about a quarter of an hour.
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
 
-MessageEvent = (
+MessageEvent: TypeAlias = (
     h11.Request
     | h11.InformationalResponse
     | h11.Response
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -150,6 +150,7 @@
         limits: read anew for each request.
         leaving: answers carry `Connection: close`, idle connections end.
         active: requests being served.
+        quiet: set while there are none.
     """
 
     def __init__(
@@ -159,6 +160,8 @@
         self.limits = limits
         self.leaving = asyncio.Event()
         self.active = 0
+        self.quiet = asyncio.Event()
+        self.quiet.set()
         self.buffered_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.idle: set[connection_lib.Connection] = set()
@@ -224,6 +227,7 @@
         reply = Reply(connection, close_after=self.leaving.is_set())
         task = asyncio.current_task()
         self.active += 1
+        self.quiet.clear()
         connection.cancel_when_lost(task)
         try:
             await self.handler(request, reply)
@@ -236,6 +240,8 @@
         finally:
             connection.cancel_when_lost(None)
             self.active -= 1
+            if not self.active:
+                self.quiet.set()
             self.buffered_bytes -= len(request.body)
         if not reply.finished:
             reply.break_off()
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -1,6 +1,6 @@
 """Tests of where adapters are placed and what makes way for them."""
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies
 import pytest
 
@@ -284,7 +284,7 @@
     assert placement.changes_since(1) is None
 
 
-@given(
+@hypothesis.given(
     strategies.lists(
         strategies.tuples(
             strategies.integers(0, 12),
