--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -13,6 +13,7 @@
 from _dogwoodhinge.gateway import call as call_lib
 from _dogwoodhinge.gateway import codec as codec_lib
 from _dogwoodhinge.gateway import errors
+from _dogwoodhinge.gateway import figures as figures_lib
 from _dogwoodhinge.gateway import plain as plain_lib
 from _dogwoodhinge.gateway import second_sends as second_sends_lib
 from _dogwoodhinge.gateway import streams as streams_lib
@@ -25,30 +26,6 @@
 RETRY_WITHOUT_CONFIGURATION = datetime.timedelta(seconds=1)
 
 
-@final
-class Outcomes:
-    """Counts of ended requests, for the metrics page.
-
-    Attributes:
-        counts: by route kind and outcome.
-        first_byte_seconds: a histogram source; called with each latency.
-    """
-
-    def __init__(self) -> None:
-        self.counts: dict[tuple[str, str], int] = {}
-        self.observers: list[Callable[[str, float], None]] = []
-
-    def note(self, kind: str, outcome: str) -> None:
-        """Counts one ended request."""
-        key = kind, outcome
-        self.counts[key] = self.counts.get(key, 0) + 1
-
-    def observe_first_byte(self, kind: str, seconds: float) -> None:
-        """Records the time to the first byte."""
-        for observer in self.observers:
-            observer(kind, seconds)
-
-
 @final
 class Handler:
     """Routes requests and ends each of them at once and truthfully."""
@@ -62,6 +39,7 @@
         streams: streams_lib.StreamForwarder,
         budget: second_sends_lib.SecondSends,
         events: event_log.Events,
+        figures: figures_lib.Figures,
         draw: random.Random,
     ) -> None:
         self.codec = codec
@@ -71,7 +49,7 @@
         self.budget = budget
         self.events = events
         self.draw = draw
-        self.outcomes = Outcomes()
+        self.figures = figures
         self.active: dict[models.AdapterKey, int] = {}
         self.begun: dict[models.AdapterKey, int] = {}
 
@@ -205,12 +183,18 @@
         self, call: call_lib.Call, reply: server.Reply, outcome: str
     ) -> None:
         now = asyncio.get_running_loop().time()
-        kind = call.route.kind.value
-        self.outcomes.note(kind, outcome)
-        first_byte = None
+        first_byte = sent = None
         if call.first_byte_at is not None:
             first_byte = call.first_byte_at - call.received_at
-            self.outcomes.observe_first_byte(kind, first_byte)
+        if call.sent_at is not None:
+            sent = call.sent_at - call.received_at
+        self.figures.observe(
+            kind=call.route.kind.value,
+            outcome=outcome,
+            total=now - call.received_at,
+            first_byte=first_byte,
+            place_wait=sent,
+        )
         fields: dict[str, object] = {
             "request": call.request.request_id,
             "route": call.route.name,
@@ -224,8 +208,7 @@
         }
         if first_byte is not None:
             fields["first_byte_ms"] = int(first_byte * 1000)
-        if call.sent_at is not None:
-            sent = call.sent_at - call.received_at
+        if sent is not None:
             fields["sent_ms"] = int(sent * 1000)
         if call.request.adapter is not None:
             fields["prompt_tokens"] = call.request.prompt_tokens
