--- /dev/null
+++ b/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
@@ -0,0 +1,155 @@
+"""Tests of reaching the order lease's row through peers."""
+
+import dataclasses
+import socket
+
+from grpclib import server as grpc_server
+import pytest
+
+from _dogwoodhinge.fleet import fleet_grpc
+from _dogwoodhinge.fleet import fleet_pb2
+from _dogwoodhinge.fleet import lease_relay
+from _dogwoodhinge.fleet import order_lease
+from dogwoodhinge import errors
+
+RECORD = order_lease.Record(node="n1", address="n1:1", token=4)
+
+
+@dataclasses.dataclass
+class FakeTable:
+    """A table that answers or fails as told."""
+
+    error: errors.TableError | None = None
+    record: order_lease.Record | None = None
+    revision: int = 0
+    calls: int = 0
+
+    async def read(self) -> order_lease.Row:
+        """Reads the row."""
+        self.calls += 1
+        if self.error is not None:
+            raise self.error
+        return order_lease.Row(self.record, self.revision)
+
+    async def write(self, record: order_lease.Record, *, revision: int) -> int:
+        """Writes the row."""
+        self.calls += 1
+        if self.error is not None:
+            raise self.error
+        if revision != self.revision:
+            raise errors.TableConflictError("changed")
+        self.record, self.revision = record, revision + 1
+        return self.revision
+
+
+class Peer(fleet_grpc.FleetBase):
+    """A peer that only relays."""
+
+    def __init__(self, table: FakeTable) -> None:
+        self.table = table
+
+    async def RelayLease(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Relays one call."""
+        call = await stream.recv_message()
+        await stream.send_message(await lease_relay.answer(self.table, call))
+
+    async def Place(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Is not asked."""
+
+    async def Sync(self, stream: grpc_server.Stream) -> None:  # noqa: N802
+        """Is not asked."""
+
+
+@dataclasses.dataclass
+class Bench:
+    """A node cut off from the table, and a peer."""
+
+    direct: FakeTable
+    at_peer: FakeTable
+    relayed: lease_relay.RelayedLease
+    server: grpc_server.Server
+
+
+@pytest.fixture
+async def bench():  # noqa: ANN201
+    at_peer = FakeTable()
+    server = grpc_server.Server([Peer(at_peer)])
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        port = found.getsockname()[1]
+    await server.start("127.0.0.1", port)
+    direct = FakeTable(errors.TableUnavailableError("cut off"))
+    relayed = lease_relay.RelayedLease(
+        direct=direct,
+        peers=lambda: (f"127.0.0.1:{port}",),
+        report=lambda event, fields: None,
+    )
+    yield Bench(direct, at_peer, relayed, server)
+    server.close()
+    await server.wait_closed()
+
+
+async def test_peer_writes_for_a_node_that_is_cut_off(bench: Bench) -> None:
+    assert await bench.relayed.write(RECORD, revision=0) == 1
+    assert bench.at_peer.record == RECORD
+    assert await bench.relayed.read() == order_lease.Row(RECORD, 1)
+
+
+async def test_row_that_does_not_exist_is_read_as_none(bench: Bench) -> None:
+    assert await bench.relayed.read() == order_lease.Row(None, 0)
+
+
+async def test_conflict_at_a_peer_is_a_conflict(bench: Bench) -> None:
+    bench.at_peer.revision = 9
+    with pytest.raises(errors.TableConflictError):
+        await bench.relayed.write(RECORD, revision=0)
+
+
+async def test_unknown_outcome_is_not_tried_through_a_peer(
+    bench: Bench,
+) -> None:
+    """The write may take effect later; the row is read back first."""
+    bench.direct.error = errors.TableOutcomeUnknownError("no answer")
+    with pytest.raises(errors.TableOutcomeUnknownError):
+        await bench.relayed.write(RECORD, revision=0)
+    assert bench.at_peer.calls == 0
+
+
+async def test_peer_without_the_table_leaves_it_unavailable(
+    bench: Bench,
+) -> None:
+    bench.at_peer.error = errors.TableUnavailableError("down")
+    with pytest.raises(errors.TableUnavailableError):
+        await bench.relayed.write(RECORD, revision=0)
+
+
+async def test_peer_that_does_not_answer_leaves_a_write_unknown(
+    bench: Bench,
+) -> None:
+    bench.server.close()
+    await bench.server.wait_closed()
+    with pytest.raises(errors.TableOutcomeUnknownError):
+        await bench.relayed.write(RECORD, revision=0)
+    with pytest.raises(errors.TableUnavailableError):
+        await bench.relayed.read()
+
+
+async def test_own_connection_is_spared_right_after_it_failed(
+    bench: Bench,
+) -> None:
+    await bench.relayed.read()
+    await bench.relayed.read()
+    assert bench.direct.calls == 1
+
+
+async def test_own_connection_is_used_while_it_works(bench: Bench) -> None:
+    bench.direct.error = None
+    await bench.relayed.write(RECORD, revision=0)
+    assert bench.direct.record == RECORD
+    assert bench.at_peer.calls == 0
+
+
+async def test_answer_without_a_call_is_unavailable() -> None:
+    table = FakeTable(errors.TableUnavailableError("down"))
+    found = await lease_relay.answer(table, fleet_pb2.LeaseCall())
+    assert found.outcome == lease_relay.Outcome.UNAVAILABLE
--- /dev/null
+++ b/packages/dogwoodhinge/testing/gateway/test_event_stream.py
@@ -0,0 +1,35 @@
+"""Tests of splitting an event stream."""
+
+import hypothesis
+from hypothesis import strategies
+
+from _dogwoodhinge.gateway import event_stream
+
+
+def event(number: int) -> bytes:
+    """Returns one event."""
+    return b"id: %d\ndata: piece\n\n" % number
+
+
+@hypothesis.given(
+    strategies.integers(0, 8),
+    strategies.lists(strategies.integers(0, 200), max_size=10),
+)
+def test_events_are_whole_however_the_bytes_arrive(
+    count: int, cuts: list[int]
+) -> None:
+    data = b"".join(event(number) for number in range(count)) + b"id: 9"
+    splitter = event_stream.EventSplitter()
+    found = []
+    edges = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    for start, end in zip(edges, edges[1:], strict=False):
+        found += splitter.feed(data[start:end])
+    assert [e.data for e in found] == [event(n) for n in range(count)]
+    assert [e.event_id for e in found] == [str(n) for n in range(count)]
+    assert splitter.rest == b"id: 9"
+
+
+def test_event_without_an_id_has_none() -> None:
+    splitter = event_stream.EventSplitter()
+    (found,) = splitter.feed(b"data: x\n\n")
+    assert found.event_id is None
