--- a/packages/dogwoodctl/src/_dogwoodctl/commands.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/commands.py
@@ -8,6 +8,7 @@
 from _dogwoodctl import errors
 from _dogwoodctl import inspection
 from _dogwoodctl import keys
+from _dogwoodctl import log_explanation
 
 
 @final
@@ -44,6 +45,12 @@
     Command("status", "", inspection.status),
     Command("endpoints", "", inspection.endpoints),
     Command("explain", "REQUEST_ID", inspection.explain),
+    Command(
+        "explain-log",
+        "REQUEST_ID",
+        log_explanation.explain_log,
+        needs_key=False,
+    ),
     Command("key hash", "", keys.hash_key, needs_key=False),
 )
 
