--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 DEMO_SECONDS ?= 5
 FAULTS ?= --core
 
-.PHONY: venv test test-platform demo format lint types check faults measure slopes footprint times proto
+.PHONY: venv test test-platform replay demo format lint types check faults measure slopes footprint times proto
 
 venv: $(VENV)/.installed
 
@@ -49,6 +49,10 @@
 measure: venv
 	$(BIN)/python -m dogwoodhinge_lab.measure
 
+# One line for each load pattern: placement as it is, and two plain ways.
+replay: venv
+	$(BIN)/python -m dogwoodhinge_lab.replay
+
 slopes: venv
 	$(BIN)/python -m dogwoodhinge_lab.slopes
 
