A node looks at the lease when its owner's right has run out

Cause: found by a test: an owner that can no longer renew but still answers its peers kept them from taking over. Tests of the owner, of peers over loopback, and of a takeover.

--- /dev/null
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
@@ -0,0 +1,171 @@
+"""Fakes of engines that take orders and of the row of the order lease."""
+
+import collections
+import dataclasses
+
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import order_lease
+from _dogwoodhinge.fleet import orders
+from dogwoodhinge import errors
+
+
+class FakeClock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def elapsed(self) -> float:
+        """Returns the seconds set."""
+        return self.seconds
+
+
+@dataclasses.dataclass
+class FakeLeaseTable:
+    """One row with conditional writes, and faults.
+
+    Attributes:
+        down: every call fails, nothing is done.
+        lose_answers: writes are done, and their answers lost.
+        delayed: writes that are carried out later, when `deliver` is called.
+    """
+
+    record: order_lease.Record | None = None
+    revision: int = 0
+    down: bool = False
+    lose_answers: bool = False
+    delay: bool = False
+    delayed: list[tuple[order_lease.Record, int]] = dataclasses.field(
+        default_factory=list
+    )
+    writes: int = 0
+
+    async def read(self) -> order_lease.Row:
+        """Reads the row."""
+        if self.down:
+            raise errors.TableUnavailableError("down")
+        return order_lease.Row(self.record, self.revision)
+
+    async def write(self, record: order_lease.Record, *, revision: int) -> int:
+        """Replaces the row."""
+        self.writes += 1
+        if self.down:
+            raise errors.TableUnavailableError("down")
+        if self.delay:
+            self.delayed.append((record, revision))
+            raise errors.TableOutcomeUnknownError("no answer")
+        self.apply(record, revision)
+        if self.lose_answers:
+            raise errors.TableOutcomeUnknownError("no answer")
+        return self.revision
+
+    def apply(self, record: order_lease.Record, revision: int) -> None:
+        """Carries a write out under its condition."""
+        if revision != self.revision:
+            raise errors.TableConflictError("changed")
+        self.record = record
+        self.revision += 1
+
+    def deliver(self) -> None:
+        """Carries out the delayed writes whose condition still holds."""
+        for record, revision in self.delayed:
+            if revision == self.revision:
+                self.apply(record, revision)
+        self.delayed.clear()
+
+
+@dataclasses.dataclass
+class FakeOrders:
+    """An engine that checks the count of orders, and loses answers.
+
+    Attributes:
+        lose: how many of the next answers are lost; True where the order is
+            carried out all the same.
+    """
+
+    accepted: int = 0
+    residents: set[models.AdapterKey] = dataclasses.field(default_factory=set)
+    in_use: set[models.AdapterKey] = dataclasses.field(default_factory=set)
+    lose: collections.deque[bool] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    sent: list[tuple[str, models.AdapterKey, int]] = dataclasses.field(
+        default_factory=list
+    )
+
+    async def load_adapter(
+        self,
+        entry: models.EngineEntry,
+        key: models.AdapterKey,
+        *,
+        version: int,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        """Loads an adapter."""
+        return self._take("load", key, orders_accepted)
+
+    async def unload_adapter(
+        self,
+        entry: models.EngineEntry,
+        key: models.AdapterKey,
+        *,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        """Unloads an adapter."""
+        return self._take("unload", key, orders_accepted)
+
+    async def load_model(
+        self,
+        entry: models.EngineEntry,
+        model: str,
+        *,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        """Loads a base model."""
+        return self._take("model", models.AdapterKey(model, ""), 0)
+
+    async def report(self, entry: models.EngineEntry) -> models.EngineReport:
+        """Tells what is resident."""
+        held = models.HeldModel(
+            name="base",
+            version=1,
+            adapters={key.adapter: 1 for key in self.residents},
+        )
+        return models.EngineReport(
+            orders_accepted=self.accepted,
+            waiting=0,
+            running=0,
+            born_ms=1,
+            models={"base": held},
+            pending={},
+        )
+
+    def _take(
+        self, operation: str, key: models.AdapterKey, count: int
+    ) -> orders.OrderReply:
+        self.sent.append((operation, key, count))
+        carried_out = True
+        lost = bool(self.lose)
+        if lost:
+            carried_out = self.lose.popleft()
+        reply = orders.OrderReply.CONFLICT
+        if carried_out and count == self.accepted:
+            reply = self._carry_out(operation, key)
+        if lost:
+            raise errors.EngineOutcomeUnknownError("no answer")
+        return reply
+
+    def _carry_out(
+        self, operation: str, key: models.AdapterKey
+    ) -> orders.OrderReply:
+        self.accepted += 1
+        if operation == "load":
+            self.residents.add(key)
+            return orders.OrderReply.ACCEPTED
+        if key in self.in_use:
+            return orders.OrderReply.ACCEPTED
+        self.residents.discard(key)
+        return orders.OrderReply.DONE
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -142,12 +142,20 @@
 
     async def _exchange_step(self) -> float:
         await self._exchange_once()
-        if self.failures >= FAILURES_BEFORE_LOOK or not self.link.address():
+        if not self._is_led():
             await self._look()
         return self._pause()
 
+    def _is_led(self) -> bool:
+        """Tells whether a node that may give orders is reached."""
+        return (
+            self.failures < FAILURES_BEFORE_LOOK
+            and bool(self.link.address())
+            and self.link.owner_may_order
+        )
+
     def _pause(self) -> float:
-        if self.failures >= FAILURES_BEFORE_LOOK:
+        if not self._is_led():
             return LOOK_EVERY.total_seconds()
         scale = max(1.0, self.link.nodes / NODES_AT_FULL_RATE)
         now = asyncio.get_running_loop().time()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -157,6 +157,7 @@
             nodes=len(self.owner.nodes),
             peers=self.owner.peers(MAX_PEERS_TOLD),
             lease_revision=max(0, self.owner.lease.revision),
+            may_order=self.owner.lease.may_order(),
         )
 
 
@@ -184,6 +185,7 @@
         nodes: nodes that take part, from the last exchange.
         peers: addresses of some of them.
         lease_revision: of the order lease's row, as the owner told it.
+        owner_may_order: the owner's right counted at the last exchange.
         no_room_at: loop time of the last wish that found no place.
     """
 
@@ -208,6 +210,7 @@
         self.nodes = 0
         self.peers: tuple[str, ...] = ()
         self.lease_revision = 0
+        self.owner_may_order = True
         self.no_room_at = -math.inf
 
     async def place(
@@ -281,6 +284,7 @@
         self.known_change = reply.last_change
         self.nodes = reply.nodes
         self.lease_revision = reply.lease_revision
+        self.owner_may_order = reply.may_order
         self.peers = tuple(
             peer for peer in reply.peers if peer != self.own_address
         )
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -1,6 +1,5 @@
 """Tests of orders to engines whose answers are late or lost."""
 
-import collections
 import dataclasses
 
 import pytest
@@ -10,7 +9,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import orders
 from _dogwoodhinge.fleet import placement as placement_lib
-from dogwoodhinge import errors
+from dogwoodhinge_lab import fleet_fakes
 
 ENTRY = models.EngineEntry(
     engine_id="e1",
@@ -28,108 +27,11 @@
 OTHER = models.AdapterKey("base", "a2")
 
 
-@dataclasses.dataclass
-class FakeOrders:
-    """An engine that checks the count of orders, and loses answers.
-
-    Attributes:
-        lose: how many of the next answers are lost; True where the order is
-            carried out all the same.
-    """
-
-    accepted: int = 0
-    residents: set[models.AdapterKey] = dataclasses.field(default_factory=set)
-    in_use: set[models.AdapterKey] = dataclasses.field(default_factory=set)
-    lose: collections.deque[bool] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    sent: list[tuple[str, models.AdapterKey, int]] = dataclasses.field(
-        default_factory=list
-    )
-
-    async def load_adapter(
-        self,
-        entry: models.EngineEntry,
-        key: models.AdapterKey,
-        *,
-        version: int,
-        orders_accepted: int,
-        token: int,
-    ) -> orders.OrderReply:
-        """Loads an adapter."""
-        return self._take("load", key, orders_accepted)
-
-    async def unload_adapter(
-        self,
-        entry: models.EngineEntry,
-        key: models.AdapterKey,
-        *,
-        orders_accepted: int,
-        token: int,
-    ) -> orders.OrderReply:
-        """Unloads an adapter."""
-        return self._take("unload", key, orders_accepted)
-
-    async def load_model(
-        self,
-        entry: models.EngineEntry,
-        model: str,
-        *,
-        orders_accepted: int,
-        token: int,
-    ) -> orders.OrderReply:
-        """Loads a base model."""
-        return self._take("model", models.AdapterKey(model, ""), 0)
-
-    async def report(self, entry: models.EngineEntry) -> models.EngineReport:
-        """Tells what is resident."""
-        held = models.HeldModel(
-            name="base",
-            version=1,
-            adapters={key.adapter: 1 for key in self.residents},
-        )
-        return models.EngineReport(
-            orders_accepted=self.accepted,
-            waiting=0,
-            running=0,
-            born_ms=1,
-            models={"base": held},
-            pending={},
-        )
-
-    def _take(
-        self, operation: str, key: models.AdapterKey, count: int
-    ) -> orders.OrderReply:
-        self.sent.append((operation, key, count))
-        carried_out = True
-        lost = bool(self.lose)
-        if lost:
-            carried_out = self.lose.popleft()
-        reply = orders.OrderReply.CONFLICT
-        if carried_out and count == self.accepted:
-            reply = self._carry_out(operation, key)
-        if lost:
-            raise errors.EngineOutcomeUnknownError("no answer")
-        return reply
-
-    def _carry_out(
-        self, operation: str, key: models.AdapterKey
-    ) -> orders.OrderReply:
-        self.accepted += 1
-        if operation == "load":
-            self.residents.add(key)
-            return orders.OrderReply.ACCEPTED
-        if key in self.in_use:
-            return orders.OrderReply.ACCEPTED
-        self.residents.discard(key)
-        return orders.OrderReply.DONE
-
-
 @dataclasses.dataclass
 class Bench:
     """A loader over one fake engine with one place."""
 
-    engine: FakeOrders
+    engine: fleet_fakes.FakeOrders
     placement: placement_lib.Placement
     loader: loader_lib.Loader
     may_order: bool = True
@@ -146,7 +48,7 @@
 
 @pytest.fixture
 async def bench() -> Bench:
-    engine = FakeOrders()
+    engine = fleet_fakes.FakeOrders()
     placement = placement_lib.Placement()
     found = Bench(engine, placement, None)  # type: ignore[arg-type]
     found.loader = loader_lib.Loader(
--- a/packages/dogwoodhinge/testing/fleet/test_order_lease.py
+++ b/packages/dogwoodhinge/testing/fleet/test_order_lease.py
@@ -1,93 +1,28 @@
 """Tests of the right to give orders: never two holders close together."""
 
-import dataclasses
 import datetime
 
 import pytest
 
 from _dogwoodhinge.fleet import order_lease
 from dogwoodhinge import errors
+from dogwoodhinge_lab import fleet_fakes
 
 DISTANCE = datetime.timedelta(seconds=3)
 
 
-class FakeClock:
-    """A clock that tests move."""
-
-    def __init__(self) -> None:
-        self.seconds = 100.0
-
-    def elapsed(self) -> float:
-        """Returns the seconds set."""
-        return self.seconds
-
-
-@dataclasses.dataclass
-class FakeTable:
-    """One row with conditional writes, and faults.
-
-    Attributes:
-        down: every call fails, nothing is done.
-        lose_answers: writes are done, and their answers lost.
-        delayed: writes that are carried out later, when `deliver` is called.
-    """
-
-    record: order_lease.Record | None = None
-    revision: int = 0
-    down: bool = False
-    lose_answers: bool = False
-    delay: bool = False
-    delayed: list[tuple[order_lease.Record, int]] = dataclasses.field(
-        default_factory=list
-    )
-    writes: int = 0
-
-    async def read(self) -> order_lease.Row:
-        """Reads the row."""
-        if self.down:
-            raise errors.TableUnavailableError("down")
-        return order_lease.Row(self.record, self.revision)
-
-    async def write(self, record: order_lease.Record, *, revision: int) -> int:
-        """Replaces the row."""
-        self.writes += 1
-        if self.down:
-            raise errors.TableUnavailableError("down")
-        if self.delay:
-            self.delayed.append((record, revision))
-            raise errors.TableOutcomeUnknownError("no answer")
-        self.apply(record, revision)
-        if self.lose_answers:
-            raise errors.TableOutcomeUnknownError("no answer")
-        return self.revision
-
-    def apply(self, record: order_lease.Record, revision: int) -> None:
-        """Carries a write out under its condition."""
-        if revision != self.revision:
-            raise errors.TableConflictError("changed")
-        self.record = record
-        self.revision += 1
-
-    def deliver(self) -> None:
-        """Carries out the delayed writes whose condition still holds."""
-        for record, revision in self.delayed:
-            if revision == self.revision:
-                self.apply(record, revision)
-        self.delayed.clear()
-
-
 @pytest.fixture
-def clock() -> FakeClock:
-    return FakeClock()
+def clock() -> fleet_fakes.FakeClock:
+    return fleet_fakes.FakeClock()
 
 
 @pytest.fixture
-def table() -> FakeTable:
-    return FakeTable()
+def table() -> fleet_fakes.FakeLeaseTable:
+    return fleet_fakes.FakeLeaseTable()
 
 
 def make(
-    table: FakeTable, clock: FakeClock, node: str
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock, node: str
 ) -> order_lease.OrderLease:
     """Makes a node's view of the lease."""
     return order_lease.OrderLease(
@@ -101,7 +36,7 @@
 
 
 async def test_first_node_takes_a_free_lease(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     lease = make(table, clock, "n1")
     assert await lease.try_take()
@@ -110,7 +45,7 @@
 
 
 async def test_right_ends_without_renewal(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     lease = make(table, clock, "n1")
     await lease.try_take()
@@ -119,7 +54,7 @@
 
 
 async def test_standing_still_counts_against_the_right(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     """The clock counts the time a host is suspended; see `BootClock`."""
     lease = make(table, clock, "n1")
@@ -130,7 +65,7 @@
 
 
 async def test_other_node_waits_for_the_right_and_the_distance(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
     await first.try_take()
@@ -143,7 +78,7 @@
 
 
 async def test_orders_of_two_holders_keep_their_distance(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     """The last order of one holder and the first of the next one."""
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
@@ -163,7 +98,7 @@
 
 
 async def test_renewal_that_takes_effect_late_starts_the_wait_anew(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
     await first.try_take()
@@ -178,7 +113,7 @@
 
 
 async def test_late_renewal_never_undoes_a_takeover(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
     await first.try_take()
@@ -196,7 +131,7 @@
 
 
 async def test_lost_answer_of_a_renewal_is_read_back(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     lease = make(table, clock, "n1")
     await lease.try_take()
@@ -208,7 +143,7 @@
 
 
 async def test_lost_answer_counts_from_before_the_write(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     lease = make(table, clock, "n1")
     table.lose_answers = True
@@ -218,7 +153,7 @@
 
 
 async def test_no_right_while_the_table_is_down(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     lease = make(table, clock, "n1")
     await lease.try_take()
@@ -233,7 +168,7 @@
 
 
 async def test_new_process_on_the_same_host_takes_over_at_once(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     await make(table, clock, "n1").try_take()
     again = make(table, clock, "n1")
@@ -242,7 +177,7 @@
 
 
 async def test_lease_given_up_still_keeps_the_distance(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
     await first.try_take()
@@ -256,7 +191,7 @@
 
 
 async def test_word_of_the_holder_shortens_the_takeover(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     """The row has stood still since its holder told its revision."""
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
@@ -270,7 +205,7 @@
 
 
 async def test_older_word_of_the_holder_changes_nothing(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
     await first.try_take()
@@ -282,7 +217,7 @@
 
 
 async def test_only_one_of_two_that_race_wins(
-    table: FakeTable, clock: FakeClock
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
     first, second = make(table, clock, "n1"), make(table, clock, "n2")
     await first.refresh()
--- /dev/null
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -0,0 +1,305 @@
+"""Tests of the node that gives the orders, and of nodes that ask it."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import dataclasses
+import datetime
+import socket
+
+from grpclib import server as grpc_server
+import pytest
+
+from _dogwoodhinge.fleet import engines
+from _dogwoodhinge.fleet import fleet_pb2
+from _dogwoodhinge.fleet import loader
+from _dogwoodhinge.fleet import membership
+from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import order_lease
+from _dogwoodhinge.fleet import owner as owner_lib
+from _dogwoodhinge.fleet import owner_link
+from _dogwoodhinge.fleet import versions
+from dogwoodhinge_lab import fleet_fakes
+
+KEY = models.AdapterKey("base", "a1")
+OTHER = models.AdapterKey("base", "a2")
+
+ENGINE_CLASS = models.EngineClass(
+    request_slots=8,
+    memory_tokens=100_000,
+    weights_mb=66,
+    adapter_places=1,
+    loads_per_second=5,
+    base_models={
+        "base": models.BaseModel(
+            name="base", size_mb=60, load_time=datetime.timedelta(seconds=1)
+        )
+    },
+)
+CONFIGURATION = models.Configuration(
+    version=1,
+    routes=(),
+    services={
+        "llm": models.Service(
+            name="llm", connection_limit=10, engine=ENGINE_CLASS
+        )
+    },
+    limits=models.CallerLimits(
+        head_bytes=1,
+        body_bytes=1,
+        head_timeout=datetime.timedelta(seconds=1),
+        idle_timeout=datetime.timedelta(seconds=1),
+    ),
+)
+
+
+def entry(*, model: bool = True) -> models.EngineEntry:
+    """Returns an engine's entry."""
+    held = models.HeldModel(name="base", version=1, adapters={})
+    return models.EngineEntry(
+        engine_id="e1",
+        service="llm",
+        host="127.0.0.1",
+        port=1,
+        zone="z1",
+        slots=8,
+        leaving=False,
+        born_ms=1,
+        orders_accepted=0,
+        models={"base": held} if model else {},
+    )
+
+
+@dataclasses.dataclass
+class Node:
+    """One node's fleet parts, peers reached over loopback."""
+
+    lease: order_lease.OrderLease
+    owner: owner_lib.Owner
+    link: owner_link.OwnerLink
+    membership: membership.Membership
+    directory: engines.Directory
+    server: grpc_server.Server
+    port: int
+    begun: dict[models.AdapterKey, int]
+    events: list[tuple[str, dict[str, object]]]
+
+    async def start(self) -> None:
+        """Opens the port and starts the services."""
+        await self.server.start("127.0.0.1", self.port)
+        await self.owner.start()
+        await self.membership.start()
+
+    async def stop(self) -> None:
+        """Ends it as a kill does."""
+        await self.membership.stop()
+        await self.owner.stop()
+        await self.link.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+
+def make(
+    name: str,
+    table: fleet_fakes.FakeLeaseTable,
+    orders: fleet_fakes.FakeOrders,
+    *,
+    distance: float = 0.3,
+) -> Node:
+    """Makes a node."""
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        port = found.getsockname()[1]
+    events: list[tuple[str, dict[str, object]]] = []
+
+    def report(event: str, fields: dict[str, object]) -> None:
+        events.append((event, fields))
+
+    address = f"127.0.0.1:{port}"
+    lease = order_lease.OrderLease(
+        table=table,
+        node=f"{name}@127.0.0.1",
+        address=address,
+        distance=datetime.timedelta(seconds=distance),
+        clock=order_lease.BootClock(),
+        report=report,
+    )
+    directory = engines.Directory()
+    owner = owner_lib.Owner(
+        lease=lease,
+        orders=orders,
+        directory=directory,
+        configuration=lambda: CONFIGURATION,
+        versions=versions.Versions(),
+        report=report,
+    )
+    local = owner_link.FleetServer(owner, table)
+    link = owner_link.OwnerLink(
+        node=f"{name}@127.0.0.1",
+        own_address=address,
+        local=local,
+        directory=directory,
+        address=lambda: lease.record.address if lease.record else "",
+    )
+    begun: dict[models.AdapterKey, int] = {}
+    uses = membership.UseCounter(active={}, begun=begun, directory=directory)
+    member = membership.Membership(
+        lease=lease, link=link, uses=uses, report=report
+    )
+    server = grpc_server.Server([local])
+    return Node(
+        lease, owner, link, member, directory, server, port, begun, events
+    )
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Waits for a condition."""
+    async with asyncio.timeout(15):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+def table() -> fleet_fakes.FakeLeaseTable:
+    return fleet_fakes.FakeLeaseTable()
+
+
+@pytest.fixture
+def orders() -> fleet_fakes.FakeOrders:
+    return fleet_fakes.FakeOrders()
+
+
+@pytest.fixture
+async def node(
+    table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
+) -> AsyncIterator[Node]:
+    found = make("n1", table, orders)
+    found.directory.update(entry(), now=0.0)
+    await found.start()
+    yield found
+    await found.stop()
+
+
+async def knows_engine(node: Node) -> None:
+    """Waits until the owner has read the engine's state."""
+    await until(
+        lambda: any(
+            not line.in_doubt for line in node.owner.loader.lines.values()
+        )
+    )
+
+
+async def test_first_node_becomes_owner_and_loads_what_is_asked_for(
+    node: Node, orders: fleet_fakes.FakeOrders
+) -> None:
+    await knows_engine(node)
+    seat = await node.link.place(owner_lib.Want(key=KEY, version=0))
+    assert seat.engine_id == "e1"
+    assert orders.residents == {KEY}
+
+
+async def test_failed_order_does_not_end_the_owner(
+    node: Node, orders: fleet_fakes.FakeOrders
+) -> None:
+    """Regression: mode ended the service at the first failed order."""
+    await knows_engine(node)
+    orders.lose.extend([False] * loader.SENDS)
+    with pytest.raises(owner_lib.NoRoomError):
+        await node.link.place(owner_lib.Want(key=KEY, version=0))
+    await knows_engine(node)
+    assert not node.owner.should_stop
+    assert await node.link.place(owner_lib.Want(key=KEY, version=0))
+
+
+async def test_engine_without_a_base_model_gets_one(
+    table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
+) -> None:
+    node = make("n1", table, orders)
+    node.directory.update(entry(model=False), now=0.0)
+    await node.start()
+    await until(lambda: orders.sent)
+    await node.stop()
+    assert orders.sent[0][:2] == ("model", models.AdapterKey("base", ""))
+
+
+async def test_other_nodes_ask_the_owner_and_learn_its_places(
+    node: Node,
+    table: fleet_fakes.FakeLeaseTable,
+    orders: fleet_fakes.FakeOrders,
+) -> None:
+    await knows_engine(node)
+    other = make("n2", table, orders)
+    other.directory.update(entry(), now=0.0)
+    await other.start()
+    await until(lambda: other.link.address())
+    await other.link.place(owner_lib.Want(key=KEY, version=0))
+    assert orders.residents == {KEY}
+    await until(lambda: node.directory.holders("llm", KEY))
+    await until(lambda: other.directory.holders("llm", KEY))
+    await other.stop()
+
+
+async def test_another_node_takes_over_when_the_owner_dies(
+    table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
+) -> None:
+    first, second = make("n1", table, orders), make("n2", table, orders)
+    for found in (first, second):
+        found.directory.update(entry(), now=0.0)
+    await first.start()
+    await until(first.lease.may_order)
+    await second.start()
+    await until(lambda: second.link.nodes == 2)
+    await first.stop()
+    await until(second.lease.may_order)
+    await knows_engine(second)
+    assert await second.link.place(owner_lib.Want(key=KEY, version=0))
+    assert second.lease.token == 2
+    await second.stop()
+
+
+async def test_use_reported_keeps_an_adapter_in_place(
+    node: Node, orders: fleet_fakes.FakeOrders
+) -> None:
+    await knows_engine(node)
+    await node.link.place(owner_lib.Want(key=KEY, version=0))
+    request = fleet_pb2.SyncRequest(
+        adapters=[fleet_pb2.AdapterUse(model="base", adapter="a1", active=1)]
+    )
+    await node.link.sync(request)
+    await asyncio.sleep(0.8)
+    await node.link.sync(request)
+    with pytest.raises(owner_lib.NoRoomError):
+        await node.link.place(owner_lib.Want(key=OTHER, version=0))
+    assert orders.residents == {KEY}
+
+
+async def test_node_that_is_not_the_owner_places_nothing(
+    table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
+) -> None:
+    node = make("n1", table, orders)
+    with pytest.raises(owner_lib.NotOwnerError):
+        await node.owner.place(owner_lib.Want(key=KEY, version=0))
+    assert orders.sent == []
+
+
+async def test_owner_that_leaves_gives_up_and_takes_nothing_more(
+    node: Node, table: fleet_fakes.FakeLeaseTable
+) -> None:
+    await until(node.lease.may_order)
+    await node.membership.leave()
+    assert not node.lease.may_order()
+    await asyncio.sleep(1.0)
+    assert not node.lease.may_order()
+    assert table.record is not None
+    assert table.record.address == ""
+
+
+def test_uses_that_could_not_be_reported_are_counted_again() -> None:
+    begun = {KEY: 3}
+    counter = membership.UseCounter(
+        active={}, begun=begun, directory=engines.Directory()
+    )
+    request = counter.take(0.0)
+    assert begun == {}
+    begun[KEY] = 1
+    counter.give_back(request)
+    assert begun == {KEY: 4}
