Copies of adapters whose holders are full; strong hosts give the orders first

Load pattern: the most popular adapter of a grown deployment has about 31 requests at once on engines of 24 slots; unequal hosts of 0.5 to 2 cores.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -27,7 +27,7 @@
 
 # Exchanges of many nodes keep the owner busy; above this many nodes each
 # exchanges less often.
-NODES_AT_FULL_RATE = 12
+NODES_AT_FULL_RATE = 40
 
 # Between two reads of the lease row while the owner is not reached. Each read
 # is a priced call to the platform, made only then.
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
@@ -106,6 +106,8 @@
         record: the row as read last; None before the first read.
         takeover_after: how long the row must stand still.
         after_give_up: the same once its holder has given it up.
+        reluctance: how much longer this node waits, so that stronger ones
+            come first.
     """
 
     def __init__(
@@ -115,6 +117,7 @@
         node: str,
         address: str,
         distance: datetime.timedelta,
+        reluctance: datetime.timedelta = datetime.timedelta(0),
         clock: ElapsedClock,
         report: Report,
     ) -> None:
@@ -123,6 +126,8 @@
         self.address = address
         self.clock = clock
         self.report = report
+        self.reluctance = reluctance
+        self.started_at = clock.elapsed()
         self.after_give_up = (distance + ORDER_TRAVEL) * lease_lib.DRIFT_FACTOR
         self.takeover_after = (
             RIGHT + distance + ORDER_TRAVEL
@@ -202,12 +207,16 @@
         self.report("order_lease_given_up", {"token": self.record.token})
 
     def _is_free(self) -> bool:
-        if self.record is None or self.record.node == self.node:
+        now = self.clock.elapsed()
+        reluctance = self.reluctance.total_seconds()
+        if self.record is None:
+            return now - self.started_at >= reluctance
+        if self.record.node == self.node:
             return True
         wait = (
             self.takeover_after if self.record.address else self.after_give_up
         )
-        return self.clock.elapsed() - self.seen_since > wait.total_seconds()
+        return now - self.seen_since > wait.total_seconds() + reluctance
 
     async def _write(self, token: int, change: str) -> bool:
         record = Record(node=self.node, address=self.address, token=token)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -29,9 +29,10 @@
 RETRY_WITHOUT_OWNER = datetime.timedelta(milliseconds=1_000)
 RETRY_WITHOUT_ENGINE = datetime.timedelta(milliseconds=800)
 
-# An adapter is loaded elsewhere when the prompts that wait on its engine take
-# so much longer than those on another: more than a load and its margin.
-BACKLOG_FOR_COPY_SECONDS = 0.4
+# An adapter is loaded on a further engine when its holders are this full, and
+# another engine is emptier by so much: less would not pay for the load.
+CROWDED_LOAD = 0.8
+LOAD_DIFFERENCE_FOR_COPY = 0.6
 
 
 @final
@@ -168,14 +169,15 @@
         holders: list[tuple[engines_lib.Engine, engines_lib.Holding]],
     ) -> set[str]:
         """Returns the holders, if a load elsewhere is faster than they are."""
-        shortest = min(choice.backlog_seconds(e.work) for e in engines)
-        waits = {
-            engine.engine_id: choice.backlog_seconds(engine.work)
+        emptiest = min(choice.load(e.work, e.entry.slots) for e in engines)
+        loads = {
+            engine.engine_id: choice.load(engine.work, engine.entry.slots)
             for engine, _ in holders
         }
-        if min(waits.values()) - shortest < BACKLOG_FOR_COPY_SECONDS:
+        least = min(loads.values())
+        if least < CROWDED_LOAD or least - emptiest < LOAD_DIFFERENCE_FOR_COPY:
             return set()
-        return set(waits)
+        return set(loads)
 
     async def _use_holder(
         self,
--- a/packages/dogwoodhinge/testing/fleet/test_order_lease.py
+++ b/packages/dogwoodhinge/testing/fleet/test_order_lease.py
@@ -216,6 +216,16 @@
     assert second.seen_since == seen
 
 
+async def test_weak_node_leaves_the_lease_to_a_strong_one(
+    table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
+) -> None:
+    weak = make(table, clock, "n1")
+    weak.reluctance = datetime.timedelta(seconds=1)
+    assert not await weak.try_take()
+    clock.seconds += 1
+    assert await weak.try_take()
+
+
 async def test_only_one_of_two_that_race_wins(
     table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
