A load that was never carried out no longer inflates the estimate of all

Now a load counts as lost after twice what was expected, and one load raises the estimate by 30% at most.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -39,6 +39,15 @@
 LOADS_BEFORE_DECAY = 30
 MIN_LOAD_SECONDS = 0.1
 
+# One load shows no more than this factor: it may never have been carried out.
+# If loads really take longer, the next ones show the rest.
+MAX_RISE_FACTOR = 1.3
+
+# A load that takes this factor of what was expected, and the margin in seconds,
+# was not carried out, or has been undone since.
+LOST_LOAD_FACTOR = 2.0
+LOST_LOAD_MARGIN = 0.1
+
 # A request that came too early tries again after this time.
 TOO_EARLY_PAUSE_SECONDS = 0.03
 
@@ -75,6 +84,7 @@
     Attributes:
         ready_at: loop time from which it serves.
         ordered_at: loop time at which its load was accepted.
+        expected: seconds that its load was expected to take then.
         used_at: loop time of the last known use; breaks ties.
         from_store: its load came from the weight store.
     """
@@ -85,6 +95,7 @@
     used_at: float
     from_store: bool = False
     ordered_at: float = 0.0
+    expected: float = 0.0
 
     def is_loading(self, now: float) -> bool:
         """Tells whether the adapter is still on its way."""
@@ -329,7 +340,8 @@
         if engine is None or place is None:
             return None
         place.ordered_at = at
-        place.ready_at = at + self.expected_load(place.from_store)
+        place.expected = self.expected_load(place.from_store)
+        place.ready_at = at + place.expected
         engine.note_in_memory(key)
         self._note_change(engine_id, key, place.version, place.ready_at)
         return place
@@ -389,14 +401,19 @@
         place = None if engine is None else engine.places.get(key)
         if place is None:
             return
-        if now - place.ready_at < self.load_seconds:
-            place.ready_at = now + TOO_EARLY_PAUSE_SECONDS
-            if place.from_store:
-                shown = now - place.ordered_at + TOO_EARLY_PAUSE_SECONDS
-                self.load_seconds = max(self.load_seconds, shown)
-                self.loads_since_early = 0
+        elapsed = now - place.ordered_at
+        lost_after = LOST_LOAD_FACTOR * place.expected + LOST_LOAD_MARGIN
+        if elapsed > lost_after:
+            self.undo(engine_id, key, now)
             return
-        self.undo(engine_id, key, now)
+        place.ready_at = now + TOO_EARLY_PAUSE_SECONDS
+        if place.from_store:
+            shown = min(
+                elapsed + TOO_EARLY_PAUSE_SECONDS,
+                MAX_RISE_FACTOR * place.expected,
+            )
+            self.load_seconds = max(self.load_seconds, shown)
+            self.loads_since_early = 0
 
     def expected_load(self, from_store: bool) -> float:
         """Returns the expected seconds of a load."""
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -247,6 +247,19 @@
     assert truth * 0.8 < placement.load_seconds <= limit
 
 
+def test_load_that_was_never_carried_out_barely_moves_the_estimate() -> None:
+    """Regression: each of its requests raised the estimate of all loads."""
+    placement = make("e1")
+    load(placement, 1, "e1", 0.0)
+    before = placement.load_seconds
+    place = placement.engines["e1"].places[key(1)]
+    for _ in range(100):
+        placement.note_absent("e1", key(1), place.ready_at)
+    assert key(1) not in placement.engines["e1"].places
+    limit = before * placement_lib.MAX_RISE_FACTOR
+    assert placement.load_seconds <= limit
+
+
 def test_adapter_found_absent_long_after_its_load_is_forgotten() -> None:
     placement = make("e1")
     load(placement, 1, "e1", 0.0)
