--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -26,6 +26,16 @@
 Report = Callable[[str, dict[str, object]], None]
 
 
+def _residents(
+    report: models.EngineReport,
+) -> dict[models.AdapterKey, int]:
+    return {
+        models.AdapterKey(model.name, adapter): version
+        for model in report.models.values()
+        for adapter, version in model.adapters.items()
+    }
+
+
 class OrderFailedError(errors.DogwoodhingeError):
     """An order was not accepted; the engine's state is read anew."""
 
@@ -103,11 +113,7 @@
         found = await self.orders.report(line.entry)
         line.orders_accepted = found.orders_accepted
         line.in_doubt = False
-        residents = {
-            models.AdapterKey(model.name, adapter): version
-            for model in found.models.values()
-            for adapter, version in model.adapters.items()
-        }
+        residents = _residents(found)
         self.placement.set_engine(
             line.entry.engine_id,
             capacity=capacity,
@@ -149,8 +155,8 @@
             await self._send(line, key, seat.version, load=True)
             self.placement.complete(seat.engine_id, key, at=loop.time())
 
-    async def check_unloads(self, engine_id: str) -> None:
-        """Frees the places of unloads that have ended meanwhile.
+    async def settle(self, engine_id: str) -> None:
+        """Settles places that wait for the engine's report.
 
         Raises:
             EngineError: no report arrived.
@@ -158,15 +164,15 @@
         line = self.lines.get(engine_id)
         if line is None:
             return
-        before = asyncio.get_running_loop().time() - REPORT_LAG.total_seconds()
+        loop = asyncio.get_running_loop()
+        before = loop.time() - REPORT_LAG.total_seconds()
         found = await self.orders.report(line.entry)
-        held = {
-            models.AdapterKey(model.name, adapter)
-            for model in found.models.values()
-            for adapter in model.adapters
-        }
-        self.placement.end_unloads(
-            engine_id, held | found.pending.keys(), before=before
+        self.placement.settle(
+            engine_id,
+            _residents(found),
+            found.pending.keys(),
+            before=before,
+            now=loop.time(),
         )
 
     async def load_model(self, engine_id: str, model: str) -> bool:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -29,9 +29,10 @@
 
 TEND_EVERY = datetime.timedelta(milliseconds=150)
 
-# An adapter that was in use when its unload was ordered is looked after once
-# the engine's report, which lags behind, can show that it has left.
-UNLOAD_CHECK_AFTER = datetime.timedelta(milliseconds=600)
+# An adapter that was in use when its unload was ordered, or that a request did
+# not find, is looked after once the engine's report, which lags behind, can
+# show where it is.
+SETTLE_AFTER = datetime.timedelta(milliseconds=600)
 
 # Between two attempts to read the state of an engine that does not answer.
 READ_AGAIN_AFTER = datetime.timedelta(milliseconds=500)
@@ -289,10 +290,10 @@
             known = self.loader.lines.get(engine_id)
             if known is None or known.in_doubt:
                 self._read_soon(engine_id)
-            elif self.placement.unloading(
-                engine_id, now - UNLOAD_CHECK_AFTER.total_seconds()
+            elif self.placement.is_unsettled(
+                engine_id, now - SETTLE_AFTER.total_seconds()
             ):
-                self._start_reading(engine_id, self._check_unloads(engine_id))
+                self._start_reading(engine_id, self._settle(engine_id))
 
     def _read_soon(self, engine_id: str) -> None:
         if engine_id not in self.reading:
@@ -324,9 +325,9 @@
             )
             await asyncio.sleep(READ_AGAIN_AFTER.total_seconds())
 
-    async def _check_unloads(self, engine_id: str) -> None:
+    async def _settle(self, engine_id: str) -> None:
         try:
-            await self.loader.check_unloads(engine_id)
+            await self.loader.settle(engine_id)
         except errors.EngineError as error:
             self.report(
                 "engine_state_unread",
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -74,6 +74,11 @@
     LOADING = "loading"
     RESIDENT = "resident"
     UNLOADING = "unloading"
+    MISSED = "missed"  # not found by a request; the engine's report decides
+
+
+# States in which a place is taken, but serves no request.
+UNSETTLED = frozenset({State.UNLOADING, State.MISSED})
 
 
 @final
@@ -360,38 +365,43 @@
         if engine is not None:
             engine.places[key] = Place(0, State.UNLOADING, now, now)
 
-    def unloading(self, engine_id: str, before: float) -> bool:
-        """Tells whether an unload that began before a loop time is open."""
+    def is_unsettled(self, engine_id: str, before: float) -> bool:
+        """Tells whether a place has waited for a report since a loop time."""
         engine = self.engines.get(engine_id)
         return engine is not None and any(
-            place.state is State.UNLOADING and place.ready_at < before
+            place.state in UNSETTLED and place.ready_at < before
             for place in engine.places.values()
         )
 
-    def end_unloads(
+    def settle(
         self,
         engine_id: str,
-        still_there: Collection[models.AdapterKey],
+        residents: Mapping[models.AdapterKey, int],
+        pending: Collection[models.AdapterKey],
         *,
         before: float,
+        now: float,
     ) -> None:
-        """Frees the places of unloads that a report shows to have ended.
+        """Settles places by what an engine reports.
 
         Args:
             engine_id: the engine that reported.
-            still_there: adapters that it holds or loads.
-            before: only unloads that began before this loop time.
+            residents: adapters that it holds, with their versions.
+            pending: adapters on their way.
+            before: only places that have waited since before this loop time.
+            now: loop time.
         """
         engine = self.engines.get(engine_id)
         if engine is None:
             return
         for key, place in tuple(engine.places.items()):
-            if (
-                place.state is State.UNLOADING
-                and place.ready_at < before
-                and key not in still_there
-            ):
+            if place.state not in UNSETTLED or place.ready_at >= before:
+                continue
+            if key not in residents and key not in pending:
                 del engine.places[key]
+            elif place.state is State.MISSED and key in residents:
+                found = Place(residents[key], State.RESIDENT, now, now)
+                self._set(engine, key, found)
 
     def note_absent(
         self, engine_id: str, key: models.AdapterKey, now: float
@@ -399,12 +409,15 @@
         """Takes the word of a node that an engine did not have an adapter."""
         engine = self.engines.get(engine_id)
         place = None if engine is None else engine.places.get(key)
-        if place is None:
+        if place is None or place.state in UNSETTLED:
             return
         elapsed = now - place.ordered_at
         lost_after = LOST_LOAD_FACTOR * place.expected + LOST_LOAD_MARGIN
         if elapsed > lost_after:
-            self.undo(engine_id, key, now)
+            # It may still come, so its place is not free.
+            place.state = State.MISSED
+            place.ready_at = now
+            self._note_change(engine_id, key, None, now)
             return
         place.ready_at = now + TOO_EARLY_PAUSE_SECONDS
         if place.from_store:
@@ -437,7 +450,7 @@
             Change(self.last_change, engine_id, key, p.version, p.ready_at)
             for engine_id, engine in self.engines.items()
             for key, p in engine.places.items()
-            if p.state is not State.UNLOADING
+            if p.state not in UNSETTLED
         ]
 
     def _held(
@@ -454,7 +467,7 @@
             if (
                 place is None
                 or place.version < version
-                or place.state is State.UNLOADING
+                or place.state in UNSETTLED
             ):
                 continue
             seat = Seat(
@@ -524,7 +537,7 @@
     def _evictable(
         self, key: models.AdapterKey, place: Place, now: float
     ) -> bool:
-        if place.state is State.UNLOADING:
+        if place.state in UNSETTLED:
             return False
         if any(key in active for active in self.active.values()):
             return False
