--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -58,14 +58,31 @@
 
     Attributes:
         last_byte_at: loop time at which any of them brought bytes.
-        answered_sent_at: loop time at which the latest request that has been
-            answered was sent.
+        answered: by urgency, the loop time at which the latest request that
+            has been answered was sent.
     """
 
     def __init__(self, pool: pool_lib.ConnectionPool, now: float) -> None:
         self.pool = pool
         self.last_byte_at = now
-        self.answered_sent_at = now
+        self.answered: dict[int, float] = {}
+
+    def note_answered(self, urgency: int, sent_at: float) -> None:
+        """Notes that a request was answered."""
+        latest = self.answered.get(urgency, sent_at)
+        self.answered[urgency] = max(latest, sent_at)
+
+    def overtaken_by(self, urgency: int, sent_at: float) -> float:
+        """Returns how much later a request was sent that has been answered.
+
+        Only requests that are no more urgent count: those that are go first.
+        """
+        later = (
+            answered - sent_at
+            for level, answered in self.answered.items()
+            if level >= urgency
+        )
+        return max(later, default=0.0)
 
 
 @final
@@ -232,7 +249,9 @@
         except http_errors.HttpError as error:
             raise errors.NotRunError(str(error), unreachable=True) from error
         for _ in range(MAX_FOREIGN_ANSWERS):
-            answer = await self._read_head(engine, line, connection, may_leave)
+            answer = await self._read_head(
+                engine, line, connection, demand, may_leave
+            )
             decoded = self.codec.decode_answer(answer)
             opened = OpenAnswer(head=decoded, line=line, connection=connection)
             if decoded.not_run or decoded.misdirected:
@@ -253,26 +272,32 @@
         engine: engines_lib.Engine,
         line: Line,
         connection: connection_lib.Connection,
+        demand: requests.Demand,
         may_leave: Callable[[], bool] | None,
     ) -> h11.Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
+        urgency = demand.urgency or 0
         pause = None if may_leave is None else SILENCE_CHECK.total_seconds()
         while True:
             try:
                 async with asyncio.timeout(pause):
                     head = await self._next_response(connection)
             except TimeoutError as error:
-                reason = self._reason_to_leave(engine, line, sent_at)
+                reason = self._reason_to_leave(engine, line, urgency, sent_at)
                 if reason is None or may_leave is None or not may_leave():
                     continue
                 raise reason from error
             line.last_byte_at = loop.time()
-            line.answered_sent_at = max(line.answered_sent_at, sent_at)
+            line.note_answered(urgency, sent_at)
             return head
 
     def _reason_to_leave(
-        self, engine: engines_lib.Engine, line: Line, sent_at: float
+        self,
+        engine: engines_lib.Engine,
+        line: Line,
+        urgency: int,
+        sent_at: float,
     ) -> errors.OutcomeUnknownError | None:
         """Tells why an answer need not be waited for any longer."""
         now = asyncio.get_running_loop().time()
@@ -280,7 +305,7 @@
         silence = now - line.last_byte_at
         if silence > SILENCE_LIMIT.total_seconds() + backlog:
             return SilentEngineError("the engine is silent")
-        overtaken = line.answered_sent_at - sent_at
+        overtaken = line.overtaken_by(urgency, sent_at)
         if (
             overtaken > OVERTAKEN_BY.total_seconds()
             and now - sent_at > LOST_AFTER.total_seconds() + backlog
