--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -1,6 +1,5 @@
 """The engines as one node knows them, and the adapters they hold."""
 
-from collections.abc import Iterable
 import dataclasses
 from typing import final
 
@@ -141,16 +140,6 @@
         if engine is not None:
             engine.holdings.pop(key, None)
 
-    def replace_holdings(
-        self,
-        engine_id: str,
-        holdings: Iterable[tuple[models.AdapterKey, Holding]],
-    ) -> None:
-        """Takes the owner's word on all adapters of an engine."""
-        engine = self.engines.get(engine_id)
-        if engine is not None:
-            engine.holdings = dict(holdings)
-
     def _take_holdings(self, engine: Engine, now: float) -> None:
         # The entry is late by up to a heartbeat. It is used only until the
         # owner's word arrives; a wrong guess is refused without being run.
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -18,7 +18,6 @@
 from _dogwoodhinge.fleet import order_lease as order_lease_lib
 from _dogwoodhinge.fleet import orders as orders_lib
 from _dogwoodhinge.fleet import placement as placement_lib
-from _dogwoodhinge.fleet import versions as versions_lib
 from dogwoodhinge import errors
 
 Report = Callable[[str, dict[str, object]], None]
@@ -99,14 +98,12 @@
         orders: orders_lib.EngineOrders,
         directory: engines_lib.Directory,
         configuration: Callable[[], models.Configuration | None],
-        versions: versions_lib.Versions,
         report: Report,
     ) -> None:
         super().__init__()
         self.lease = lease
         self.directory = directory
         self.configuration = configuration
-        self.versions = versions
         self.report = report
         self.placement = placement_lib.Placement()
         self.loader = loader_lib.Loader(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -64,10 +64,8 @@
         not_run: the engine says that it did not run the request.
         misdirected: another engine has the address, or the adapter (or its
             version) is not there; not run.
-        answered_by: the id of the engine that answered, if it says so.
         signed: the answer carries the engine's signature.
         headers: headers for the caller, without those of one connection.
-        body_length: None when the head does not tell.
         keep_alive_seconds: how long the engine keeps idle connections.
         closing: the engine closes the connection after this answer.
     """
@@ -77,9 +75,7 @@
     request_id: str | None
     not_run: bool
     misdirected: bool
-    answered_by: str | None
     signed: bool
     headers: tuple[server.Header, ...]
-    body_length: int | None
     keep_alive_seconds: int | None
     closing: bool
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -4,9 +4,9 @@
 from collections.abc import Awaitable, Callable
 import dataclasses
 import datetime
+import traceback
 from typing import final
 
-from absl import logging
 import h11
 
 from _dogwoodhinge.http1 import connection as connection_lib
@@ -139,6 +139,8 @@
         raise errors.ProtocolError("both a length and chunks")
 
 
+Report = Callable[[str, dict[str, object]], None]
+
 Handler = Callable[[RawRequest, Reply], Awaitable[None]]
 
 
@@ -154,10 +156,15 @@
     """
 
     def __init__(
-        self, *, handler: Handler, limits: Callable[[], Limits]
+        self,
+        *,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        report: Report,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.report = report
         self.leaving = asyncio.Event()
         self.active = 0
         self.quiet = asyncio.Event()
@@ -208,13 +215,22 @@
         try:
             while await self._serve_one(connection):
                 pass
-        except (errors.HttpError, TimeoutError):
-            pass  # the caller left or stalled; its request was logged
+        except (errors.HttpError, TimeoutError) as error:
+            # Callers leave at any time; only one that was in the middle of
+            # sending a request is worth a line.
+            if connection.unparsed:
+                self.report("request_unfinished", {"reason": str(error)})
         except asyncio.CancelledError:
             connection.abort()
             raise
-        except Exception:
-            logging.exception("a connection ended by an unexpected error")
+        except Exception as error:
+            self.report(
+                "connection_failed",
+                {
+                    "error": f"{type(error).__name__}: {error}",
+                    "traceback": traceback.format_exc(),
+                },
+            )
             connection.abort()
         finally:
             self.idle.discard(connection)
@@ -322,7 +338,7 @@
     async def _reject(
         self, connection: connection_lib.Connection, status: int
     ) -> None:
-        logging.info("request rejected while it was read: status=%d", status)
+        self.report("request_rejected", {"status": status})
         reply = Reply(connection, close_after=True)
         try:
             reply.answer(status, [])
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -18,7 +18,6 @@
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import owner as owner_lib
 from _dogwoodhinge.fleet import owner_link
-from _dogwoodhinge.fleet import versions
 from dogwoodhinge_lab import fleet_fakes
 
 KEY = models.AdapterKey("base", "a1")
@@ -130,7 +129,6 @@
         orders=orders,
         directory=directory,
         configuration=lambda: CONFIGURATION,
-        versions=versions.Versions(),
         report=report,
     )
     known = news.TableNews(is_owner=lambda: lease.is_mine)
