A silent stream is left only for another engine

Ruled out: the end of the grace period (it had 5 s left). Judging an engine by a failure stands once.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -117,17 +117,8 @@
         except TimeoutError as error:
             engine.health.note_failure(health_lib.Failure.ERROR, loop.time())
             raise errors.OutcomeUnknownError("no answer in time") from error
-        except errors.NotRunError as error:
-            if not error.unreachable and not error.misdirected:
-                engine.health.note_failure(health_lib.Failure.SHED, loop.time())
-            raise
-        except sender_lib.SilentEngineError:
-            engine.health.note_failure(health_lib.Failure.SILENT, loop.time())
-            raise
-        except errors.OutcomeUnknownError:
-            engine.health.note_failure(
-                health_lib.Failure.BROKEN_ANSWER, loop.time()
-            )
+        except errors.GatewayError as error:
+            sender_lib.note_failure(engine, error, loop.time())
             raise
         finally:
             engine.running -= 1
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -52,6 +52,25 @@
     """An engine has answered later requests, but not this one."""
 
 
+def note_failure(
+    engine: engines_lib.Engine, error: errors.GatewayError, now: float
+) -> None:
+    """Judges an engine by how a request to it failed.
+
+    Failed connects are judged where they are made; an engine that says that
+    it is not the one meant has not failed.
+    """
+    if isinstance(error, errors.NotRunError):
+        if not error.unreachable and not error.misdirected:
+            engine.health.note_failure(health_lib.Failure.SHED, now)
+    elif isinstance(error, SilentEngineError):
+        engine.health.note_failure(health_lib.Failure.SILENT, now)
+    elif isinstance(error, LostAnswerError):
+        engine.health.note_failure(health_lib.Failure.LOST_ANSWER, now)
+    else:
+        engine.health.note_failure(health_lib.Failure.BROKEN_ANSWER, now)
+
+
 @final
 class Line:
     """The connections to one incarnation of an engine.
@@ -102,12 +121,17 @@
         self.complete = False
 
     async def chunks(
-        self, *, silence_limit: datetime.timedelta | None = None
+        self,
+        *,
+        silence_limit: datetime.timedelta | None = None,
+        may_leave: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
         Args:
             silence_limit: the longest pause; None for any.
+            may_leave: asked after a pause; while it says no, the engine is
+                waited for.
 
         Raises:
             BrokenAnswerError: it ended early.
@@ -122,6 +146,8 @@
                 async with asyncio.timeout(limit):
                     event = await self.connection.next_event()
             except TimeoutError as error:
+                if not may_leave():
+                    continue
                 raise SilentEngineError("the engine fell silent") from error
             except http_errors.HttpError as error:
                 raise BrokenAnswerError(str(error)) from error
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import datetime
 from typing import final
 
@@ -156,7 +157,9 @@
             )
             try:
                 unread.end()
-                await relay.pass_on(opened)
+                await relay.pass_on(
+                    opened, may_leave=lambda: self._may_leave(call, engine)
+                )
             finally:
                 opened.close()
             if opened.head.status >= 500:
@@ -165,22 +168,8 @@
                 )
             else:
                 engine.health.note_success(loop.time())
-        except errors.NotRunError as error:
-            if not error.unreachable and not error.misdirected:
-                engine.health.note_failure(health_lib.Failure.SHED, loop.time())
-            raise
-        except sender_lib.SilentEngineError:
-            engine.health.note_failure(health_lib.Failure.SILENT, loop.time())
-            raise
-        except sender_lib.LostAnswerError:
-            engine.health.note_failure(
-                health_lib.Failure.LOST_ANSWER, loop.time()
-            )
-            raise
-        except errors.OutcomeUnknownError:
-            engine.health.note_failure(
-                health_lib.Failure.BROKEN_ANSWER, loop.time()
-            )
+        except errors.GatewayError as error:
+            sender_lib.note_failure(engine, error, loop.time())
             raise
         finally:
             engine.running -= 1
@@ -250,9 +239,18 @@
         self.reply = reply
         self.last_event_id = call.request.resume_after
 
-    async def pass_on(self, opened: sender_lib.OpenAnswer) -> None:
+    async def pass_on(
+        self,
+        opened: sender_lib.OpenAnswer,
+        *,
+        may_leave: Callable[[], bool],
+    ) -> None:
         """Passes one engine's answer on.
 
+        Args:
+            opened: the answer.
+            may_leave: tells whether a silent engine may be left.
+
         Raises:
             OutcomeUnknownError: the answer broke off.
         """
@@ -262,7 +260,7 @@
             await self._pass_failure(opened)
             return
         if self.call.route.resumable:
-            await self._pass_events(opened)
+            await self._pass_events(opened, may_leave)
         else:
             await self._pass_bytes(opened)
         self.reply.finish()
@@ -279,9 +277,13 @@
             opened.head.status, list(opened.head.headers), b"".join(body)
         )
 
-    async def _pass_events(self, opened: sender_lib.OpenAnswer) -> None:
+    async def _pass_events(
+        self, opened: sender_lib.OpenAnswer, may_leave: Callable[[], bool]
+    ) -> None:
         splitter = event_stream.EventSplitter()
-        chunks = opened.chunks(silence_limit=STREAM_PAUSE_LIMIT)
+        chunks = opened.chunks(
+            silence_limit=STREAM_PAUSE_LIMIT, may_leave=may_leave
+        )
         async for chunk in chunks:
             for event in splitter.feed(chunk):
                 self._begin(opened.head)
