Places and offers of places stand in a module of their own

No behaviour changes: placement.py had grown to 607 lines. Ruled out: moving the estimate of load times as well, it needs the places' states.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
@@ -20,6 +20,7 @@
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import placement as placement_lib
+from _dogwoodhinge.fleet import places as places_lib
 
 # From the sheets of today's deployments.
 ENGINES = 5
@@ -119,15 +120,13 @@
         """Places by `Placement.find`."""
         key = _key(adapter)
         candidates = [
-            placement_lib.Candidate(
-                str(e), PLACES, SLOTS, self.reported[e], 0.0
-            )
+            places_lib.Candidate(str(e), PLACES, SLOTS, self.reported[e], 0.0)
             for e in usable
         ]
         seat = self.placement.find(
             key, 0, candidates, avoid=(), prompt_tokens=tokens, now=now
         )
-        if isinstance(seat, placement_lib.NoRoom):
+        if isinstance(seat, places_lib.NoRoom):
             return None
         engine = int(seat.engine_id)
         ready_at = seat.ready_at
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -13,6 +13,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import orders as orders_lib
 from _dogwoodhinge.fleet import placement as placement_lib
+from _dogwoodhinge.fleet import places as places_lib
 from dogwoodhinge import errors
 
 # After a conflict the engine's report is asked for; it lags behind by some
@@ -133,9 +134,7 @@
             },
         )
 
-    async def load(
-        self, seat: placement_lib.Seat, key: models.AdapterKey
-    ) -> None:
+    async def load(self, seat: places_lib.Seat, key: models.AdapterKey) -> None:
         """Orders what a new seat asks for.
 
         Raises:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -18,6 +18,7 @@
 from _dogwoodhinge.fleet import order_lease as order_lease_lib
 from _dogwoodhinge.fleet import orders as orders_lib
 from _dogwoodhinge.fleet import placement as placement_lib
+from _dogwoodhinge.fleet import places as places_lib
 from dogwoodhinge import errors
 
 Report = Callable[[str, dict[str, object]], None]
@@ -123,7 +124,7 @@
 
     # Calls of peers
 
-    async def place(self, want: Want) -> placement_lib.Seat:
+    async def place(self, want: Want) -> places_lib.Seat:
         """Finds a place for an adapter and orders its load.
 
         Raises:
@@ -145,7 +146,7 @@
             prompt_tokens=want.prompt_tokens,
             now=now,
         )
-        if isinstance(found, placement_lib.NoRoom):
+        if isinstance(found, places_lib.NoRoom):
             self._note_refused(want, found, now)
             raise NoRoomError(found.retry_after)
         if found.new:
@@ -153,7 +154,7 @@
         return found
 
     def _note_refused(
-        self, want: Want, found: placement_lib.NoRoom, now: float
+        self, want: Want, found: places_lib.NoRoom, now: float
     ) -> None:
         self.refused += 1
         if now - self.refused_logged_at < REFUSED_LOG_EVERY.total_seconds():
@@ -172,8 +173,8 @@
         self.refused_logged_at = now
 
     async def _load(
-        self, seat: placement_lib.Seat, key: models.AdapterKey
-    ) -> placement_lib.Seat:
+        self, seat: places_lib.Seat, key: models.AdapterKey
+    ) -> places_lib.Seat:
         loop = asyncio.get_running_loop()
         decided_at = loop.time()
         try:
@@ -200,7 +201,7 @@
         return dataclasses.replace(seat, ready_at=ready_at)
 
     def _start_load(
-        self, seat: placement_lib.Seat, key: models.AdapterKey
+        self, seat: places_lib.Seat, key: models.AdapterKey
     ) -> asyncio.Task[None]:
         # Not `add_future`: a failed order there would end the service.
         task = asyncio.ensure_future(self.loader.load(seat, key))
@@ -362,9 +363,7 @@
                 if not await self.loader.load_model(engine_id, model):
                     self.base_models.note_ended(engine_id)
 
-    def _candidates(
-        self, model: str, now: float
-    ) -> list[placement_lib.Candidate]:
+    def _candidates(self, model: str, now: float) -> list[places_lib.Candidate]:
         work = self.work()
         found = []
         for engine in self._model_engines():
@@ -378,7 +377,7 @@
             if penalty > health_lib.AVOID_ABOVE:
                 continue
             found.append(
-                placement_lib.Candidate(
+                places_lib.Candidate(
                     engine.engine_id,
                     engine_class.adapter_places,
                     engine.entry.slots,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -19,7 +19,7 @@
 from _dogwoodhinge.fleet import news as news_lib
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import owner as owner_lib
-from _dogwoodhinge.fleet import placement as placement_lib
+from _dogwoodhinge.fleet import places as places_lib
 
 # A call crosses one zone border and may wait for two orders to one engine.
 PLACE_TIMEOUT = datetime.timedelta(milliseconds=900)
@@ -178,7 +178,7 @@
         ]
 
 
-def _encode_change(change: placement_lib.Change) -> fleet_pb2.PlaceChange:
+def _encode_change(change: places_lib.Change) -> fleet_pb2.PlaceChange:
     return fleet_pb2.PlaceChange(
         engine_id=change.engine_id,
         model=change.key.model,
@@ -235,7 +235,7 @@
         want: owner_lib.Want,
         *,
         timeout: datetime.timedelta = PLACE_TIMEOUT,
-    ) -> placement_lib.Seat:
+    ) -> places_lib.Seat:
         """Asks for a place for an adapter.
 
         Raises:
@@ -263,7 +263,7 @@
                 datetime.timedelta(milliseconds=reply.retry_after_ms)
             )
         now = asyncio.get_running_loop().time()
-        return placement_lib.Seat(
+        return places_lib.Seat(
             engine_id=reply.engine_id,
             version=reply.version,
             ready_at=now + reply.ready_in_ms / 1000,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -12,14 +12,12 @@
 
 import collections
 from collections.abc import Collection, Iterable, Mapping
-import dataclasses
 import datetime
-import enum
 from typing import final
 
 from _dogwoodhinge.fleet import choice
-from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import places as places_lib
 from _dogwoodhinge.fleet import popularity as popularity_lib
 
 # The engines' own bound on adapters on their way to one of them.
@@ -55,151 +53,12 @@
 # one exchange between the nodes, and the way of a request.
 PROTECTED_SECONDS = 0.35
 
-# Adapters whose weights an engine still has in host memory, as far as its
-# report does not tell; engines keep about a hundred.
-MAX_IN_MEMORY = 100
-
-# A seat given out counts as work on its engine until the asker reports it.
-REPORTED_AFTER_SECONDS = 0.4
-
 # Costs of a place, in engine loads: a load from the store against one from
 # memory, and the loss of an adapter that is asked for once in a half-life.
 STORE_LOAD_COST = 0.5
 VICTIM_COST = 0.1
 
 
-class State(enum.Enum):
-    """Where an adapter is on its way."""
-
-    LOADING = "loading"
-    RESIDENT = "resident"
-    UNLOADING = "unloading"
-    MISSED = "missed"  # not found by a request; the engine's report decides
-
-
-# States in which a place is taken, but serves no request.
-UNSETTLED = frozenset({State.UNLOADING, State.MISSED})
-
-
-@final
-@dataclasses.dataclass(slots=True)
-class Place:
-    """An adapter's place on an engine.
-
-    Attributes:
-        ready_at: loop time from which it serves.
-        ordered_at: loop time at which its load was accepted.
-        expected: seconds that its load was expected to take then.
-        used_at: loop time of the last known use; breaks ties.
-        from_store: its load came from the weight store.
-    """
-
-    version: int
-    state: State
-    ready_at: float
-    used_at: float
-    from_store: bool = False
-    ordered_at: float = 0.0
-    expected: float = 0.0
-
-    def is_loading(self, now: float) -> bool:
-        """Tells whether the adapter is still on its way."""
-        return self.state is State.LOADING and self.ready_at > now
-
-
-@final
-class EnginePlaces:
-    """The places of one engine."""
-
-    def __init__(self, engine_id: str, *, capacity: int) -> None:
-        self.engine_id = engine_id
-        self.capacity = capacity
-        self.places: dict[models.AdapterKey, Place] = {}
-        self.given: collections.deque[tuple[float, int]] = collections.deque()
-        self.in_memory: collections.OrderedDict[models.AdapterKey, None] = (
-            collections.OrderedDict()
-        )
-
-    def given_work(self, now: float) -> engines_lib.Work:
-        """Returns the work of seats that no report tells of yet."""
-        while self.given and now - self.given[0][0] > REPORTED_AFTER_SECONDS:
-            self.given.popleft()
-        return engines_lib.Work(
-            len(self.given), sum(tokens for _, tokens in self.given)
-        )
-
-    def loading(self, now: float) -> int:
-        """Returns how many adapters are on their way."""
-        return sum(place.is_loading(now) for place in self.places.values())
-
-    def note_in_memory(self, key: models.AdapterKey) -> None:
-        """Notes that the engine had an adapter's weights."""
-        self.in_memory[key] = None
-        self.in_memory.move_to_end(key)
-        if len(self.in_memory) > MAX_IN_MEMORY:
-            self.in_memory.popitem(last=False)
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """An engine that may load adapters.
-
-    Attributes:
-        slots: requests that it runs at once.
-        work: what runs and waits there, from the nodes' last reports.
-        penalty: see `health`.
-    """
-
-    engine_id: str
-    capacity: int
-    slots: int
-    work: engines_lib.Work
-    penalty: float
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Seat:
-    """Where a request for an adapter may go.
-
-    Attributes:
-        ready_at: loop time from which the adapter serves.
-        evict: the adapter that makes way; None when a place is free.
-        new: a load must be ordered first.
-    """
-
-    engine_id: str
-    version: int
-    ready_at: float
-    evict: models.AdapterKey | None = None
-    new: bool = False
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoRoom:
-    """No engine can take the adapter now.
-
-    Attributes:
-        retry_after: when a place may be had.
-    """
-
-    retry_after: datetime.timedelta
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """One change of a place, for the other nodes; version None: gone."""
-
-    number: int
-    engine_id: str
-    key: models.AdapterKey
-    version: int | None
-    ready_at: float
-
-
 # Nodes ask several times a second; one that missed so many asks for all.
 MAX_CHANGES = 2_000
 
@@ -209,12 +68,12 @@
     """The places of all engines that this node gives orders to."""
 
     def __init__(self) -> None:
-        self.engines: dict[str, EnginePlaces] = {}
+        self.engines: dict[str, places_lib.EnginePlaces] = {}
         self.popularity = popularity_lib.Popularity()
         self.active: dict[str, dict[models.AdapterKey, int]] = {}
         self.load_seconds = FIRST_LOAD_SECONDS
         self.loads_since_early = 0
-        self.changes: collections.deque[Change] = collections.deque(
+        self.changes: collections.deque[places_lib.Change] = collections.deque(
             maxlen=MAX_CHANGES
         )
         self.last_change = 0
@@ -237,16 +96,26 @@
         now: float,
     ) -> None:
         """Takes an engine's own report on what it holds."""
-        known = EnginePlaces(engine_id, capacity=capacity)
+        known = places_lib.EnginePlaces(engine_id, capacity=capacity)
         previous = self.engines.get(engine_id)
         for key in in_memory:
             known.note_in_memory(key)
         self.engines[engine_id] = known
         for key, version in residents.items():
-            self._set(known, key, Place(version, State.RESIDENT, now, now))
+            self._set(
+                known,
+                key,
+                places_lib.Place(version, places_lib.State.RESIDENT, now, now),
+            )
         for key, version in pending.items():
             ready_at = now + self.load_seconds
-            self._set(known, key, Place(version, State.LOADING, ready_at, now))
+            self._set(
+                known,
+                key,
+                places_lib.Place(
+                    version, places_lib.State.LOADING, ready_at, now
+                ),
+            )
         if previous is not None:
             for key in previous.places.keys() - known.places.keys():
                 self._note_change(engine_id, key, None, now)
@@ -288,12 +157,12 @@
         self,
         key: models.AdapterKey,
         version: int,
-        candidates: Iterable[Candidate],
+        candidates: Iterable[places_lib.Candidate],
         *,
         avoid: Collection[str],
         prompt_tokens: int,
         now: float,
-    ) -> Seat | NoRoom:
+    ) -> places_lib.Seat | places_lib.NoRoom:
         """Finds an engine for an adapter and reserves its place.
 
         Args:
@@ -312,18 +181,22 @@
         if held is not None:
             self._give(held.engine_id, prompt_tokens, now)
             return held
-        best: tuple[float, Candidate, models.AdapterKey | None] | None = None
+        best: (
+            tuple[float, places_lib.Candidate, models.AdapterKey | None] | None
+        ) = None
         for candidate in usable:
             offer = self._offer(key, candidate, now)
             if offer is not None and (best is None or offer[0] < best[0]):
                 best = offer
         if best is None:
-            return NoRoom(self._room_after(usable, now))
+            return places_lib.NoRoom(self._room_after(usable, now))
         _, candidate, victim = best
         self._give(candidate.engine_id, prompt_tokens, now)
         return self._reserve(key, version, candidate, victim, now)
 
-    def is_reserved(self, seat: Seat, key: models.AdapterKey) -> bool:
+    def is_reserved(
+        self, seat: places_lib.Seat, key: models.AdapterKey
+    ) -> bool:
         """Tells whether a new seat's reservation still stands.
 
         An engine's state that was read meanwhile replaces all reservations.
@@ -334,11 +207,11 @@
             return False
         if seat.evict is not None and seat.evict != key:
             return seat.evict not in engine.places
-        return place.state is State.LOADING
+        return place.state is places_lib.State.LOADING
 
     def complete(
         self, engine_id: str, key: models.AdapterKey, *, at: float
-    ) -> Place | None:
+    ) -> places_lib.Place | None:
         """Notes that a reserved load was accepted at loop time `at`."""
         engine = self.engines.get(engine_id)
         place = None if engine is None else engine.places.get(key)
@@ -363,13 +236,15 @@
         """Notes that an adapter leaves once its runs have ended."""
         engine = self.engines.get(engine_id)
         if engine is not None:
-            engine.places[key] = Place(0, State.UNLOADING, now, now)
+            engine.places[key] = places_lib.Place(
+                0, places_lib.State.UNLOADING, now, now
+            )
 
     def is_unsettled(self, engine_id: str, before: float) -> bool:
         """Tells whether a place has waited for a report since a loop time."""
         engine = self.engines.get(engine_id)
         return engine is not None and any(
-            place.state in UNSETTLED and place.ready_at < before
+            place.state in places_lib.UNSETTLED and place.ready_at < before
             for place in engine.places.values()
         )
 
@@ -395,12 +270,17 @@
         if engine is None:
             return
         for key, place in tuple(engine.places.items()):
-            if place.state not in UNSETTLED or place.ready_at >= before:
+            if (
+                place.state not in places_lib.UNSETTLED
+                or place.ready_at >= before
+            ):
                 continue
             if key not in residents and key not in pending:
                 del engine.places[key]
-            elif place.state is State.MISSED and key in residents:
-                found = Place(residents[key], State.RESIDENT, now, now)
+            elif place.state is places_lib.State.MISSED and key in residents:
+                found = places_lib.Place(
+                    residents[key], places_lib.State.RESIDENT, now, now
+                )
                 self._set(engine, key, found)
 
     def note_absent(
@@ -409,13 +289,13 @@
         """Takes the word of a node that an engine did not have an adapter."""
         engine = self.engines.get(engine_id)
         place = None if engine is None else engine.places.get(key)
-        if place is None or place.state in UNSETTLED:
+        if place is None or place.state in places_lib.UNSETTLED:
             return
         elapsed = now - place.ordered_at
         lost_after = LOST_LOAD_FACTOR * place.expected + LOST_LOAD_MARGIN
         if elapsed > lost_after:
             # It may still come, so its place is not free.
-            place.state = State.MISSED
+            place.state = places_lib.State.MISSED
             place.ready_at = now
             self._note_change(engine_id, key, None, now)
             return
@@ -434,7 +314,7 @@
             return self.load_seconds
         return self.load_seconds * MEMORY_LOAD_FACTOR
 
-    def changes_since(self, number: int) -> list[Change] | None:
+    def changes_since(self, number: int) -> list[places_lib.Change] | None:
         """Returns later changes; None when some are no longer kept."""
         if number == self.last_change:
             return []
@@ -444,33 +324,35 @@
             return None
         return [c for c in self.changes if c.number > number]
 
-    def all_places(self) -> list[Change]:
+    def all_places(self) -> list[places_lib.Change]:
         """Returns every place as a change."""
         return [
-            Change(self.last_change, engine_id, key, p.version, p.ready_at)
+            places_lib.Change(
+                self.last_change, engine_id, key, p.version, p.ready_at
+            )
             for engine_id, engine in self.engines.items()
             for key, p in engine.places.items()
-            if p.state not in UNSETTLED
+            if p.state not in places_lib.UNSETTLED
         ]
 
     def _held(
         self,
         key: models.AdapterKey,
         version: int,
-        usable: list[Candidate],
+        usable: list[places_lib.Candidate],
         now: float,
-    ) -> Seat | None:
-        best: tuple[float, Seat] | None = None
+    ) -> places_lib.Seat | None:
+        best: tuple[float, places_lib.Seat] | None = None
         for candidate in usable:
             engine = self.engines.get(candidate.engine_id)
             place = None if engine is None else engine.places.get(key)
             if (
                 place is None
                 or place.version < version
-                or place.state in UNSETTLED
+                or place.state in places_lib.UNSETTLED
             ):
                 continue
-            seat = Seat(
+            seat = places_lib.Seat(
                 engine_id=candidate.engine_id,
                 version=place.version,
                 ready_at=place.ready_at,
@@ -483,7 +365,7 @@
     def _give(self, engine_id: str, prompt_tokens: int, now: float) -> None:
         self.engines[engine_id].given.append((now, prompt_tokens))
 
-    def _load(self, candidate: Candidate, now: float) -> float:
+    def _load(self, candidate: places_lib.Candidate, now: float) -> float:
         work = candidate.work
         engine = self.engines.get(candidate.engine_id)
         if engine is not None:
@@ -491,8 +373,11 @@
         return choice.load(work, candidate.slots)
 
     def _offer(
-        self, key: models.AdapterKey, candidate: Candidate, now: float
-    ) -> tuple[float, Candidate, models.AdapterKey | None] | None:
+        self,
+        key: models.AdapterKey,
+        candidate: places_lib.Candidate,
+        now: float,
+    ) -> tuple[float, places_lib.Candidate, models.AdapterKey | None] | None:
         engine = self.engines.get(candidate.engine_id)
         if engine is None or engine.loading(now) >= MAX_LOADING:
             return None
@@ -514,7 +399,7 @@
         return cost, candidate, victim
 
     def _victim(
-        self, engine: EnginePlaces, now: float
+        self, engine: places_lib.EnginePlaces, now: float
     ) -> models.AdapterKey | None:
         evictable = [
             key
@@ -531,13 +416,15 @@
             default=None,
         )
 
-    def _is_outdated(self, key: models.AdapterKey, place: Place) -> bool:
+    def _is_outdated(
+        self, key: models.AdapterKey, place: places_lib.Place
+    ) -> bool:
         return place.version < self.newest.get(key, 0)
 
     def _evictable(
-        self, key: models.AdapterKey, place: Place, now: float
+        self, key: models.AdapterKey, place: places_lib.Place, now: float
     ) -> bool:
-        if place.state in UNSETTLED:
+        if place.state in places_lib.UNSETTLED:
             return False
         if any(key in active for active in self.active.values()):
             return False
@@ -547,21 +434,23 @@
         self,
         key: models.AdapterKey,
         version: int,
-        candidate: Candidate,
+        candidate: places_lib.Candidate,
         victim: models.AdapterKey | None,
         now: float,
-    ) -> Seat:
+    ) -> places_lib.Seat:
         engine = self.engines[candidate.engine_id]
         if victim is not None:
-            engine.places[victim].state = State.UNLOADING
+            engine.places[victim].state = places_lib.State.UNLOADING
             self._note_change(engine.engine_id, victim, None, now)
             del engine.places[victim]
         from_store = key not in engine.in_memory
         ready_at = now + self.expected_load(from_store)
-        place = Place(version, State.LOADING, ready_at, now, from_store)
+        place = places_lib.Place(
+            version, places_lib.State.LOADING, ready_at, now, from_store
+        )
         self._set(engine, key, place)
         self._decay_load_estimate()
-        return Seat(
+        return places_lib.Seat(
             engine_id=engine.engine_id,
             version=version,
             ready_at=ready_at,
@@ -576,7 +465,7 @@
             self.load_seconds = max(MIN_LOAD_SECONDS, shorter)
 
     def _room_after(
-        self, usable: list[Candidate], now: float
+        self, usable: list[places_lib.Candidate], now: float
     ) -> datetime.timedelta:
         ends = [
             place.ready_at + PROTECTED_SECONDS - now
@@ -588,7 +477,10 @@
         return datetime.timedelta(seconds=max(0.1, wait))
 
     def _set(
-        self, engine: EnginePlaces, key: models.AdapterKey, place: Place
+        self,
+        engine: places_lib.EnginePlaces,
+        key: models.AdapterKey,
+        place: places_lib.Place,
     ) -> None:
         engine.places[key] = place
         engine.note_in_memory(key)
@@ -603,5 +495,7 @@
     ) -> None:
         self.last_change += 1
         self.changes.append(
-            Change(self.last_change, engine_id, key, version, ready_at)
+            places_lib.Change(
+                self.last_change, engine_id, key, version, ready_at
+            )
         )
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -9,6 +9,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import orders
 from _dogwoodhinge.fleet import placement as placement_lib
+from _dogwoodhinge.fleet import places as places_lib
 from dogwoodhinge_lab import fleet_fakes
 
 ENTRY = models.EngineEntry(
@@ -36,13 +37,13 @@
     loader: loader_lib.Loader
     may_order: bool = True
 
-    def reserve(self, key: models.AdapterKey, now: float) -> placement_lib.Seat:
+    def reserve(self, key: models.AdapterKey, now: float) -> places_lib.Seat:
         """Reserves a place."""
-        candidate = placement_lib.Candidate("e1", 1, 8, engines_lib.Work(), 0.0)
+        candidate = places_lib.Candidate("e1", 1, 8, engines_lib.Work(), 0.0)
         seat = self.placement.find(
             key, 0, [candidate], avoid=(), prompt_tokens=0, now=now
         )
-        assert isinstance(seat, placement_lib.Seat)
+        assert isinstance(seat, places_lib.Seat)
         return seat
 
 
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -7,6 +7,7 @@
 from _dogwoodhinge.fleet import engines
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import placement as placement_lib
+from _dogwoodhinge.fleet import places as places_lib
 
 CAPACITY = 3
 SLOTS = 8
@@ -19,10 +20,10 @@
 
 def candidate(
     engine_id: str, *, running: int = 0, unread: int = 0
-) -> placement_lib.Candidate:
+) -> places_lib.Candidate:
     """Returns an engine as the owner sees it."""
     work = engines.Work(running, unread)
-    return placement_lib.Candidate(engine_id, CAPACITY, SLOTS, work, 0.0)
+    return places_lib.Candidate(engine_id, CAPACITY, SLOTS, work, 0.0)
 
 
 def make(
@@ -45,12 +46,12 @@
 def find(
     placement: placement_lib.Placement,
     number: int,
-    *candidates: placement_lib.Candidate,
+    *candidates: places_lib.Candidate,
     now: float,
     version: int = 0,
     avoid: frozenset[str] = frozenset(),
     prompt_tokens: int = 100,
-) -> placement_lib.Seat | placement_lib.NoRoom:
+) -> places_lib.Seat | places_lib.NoRoom:
     """Asks for a place."""
     return placement.find(
         key(number),
@@ -64,10 +65,10 @@
 
 def load(
     placement: placement_lib.Placement, number: int, engine_id: str, now: float
-) -> placement_lib.Seat:
+) -> places_lib.Seat:
     """Places an adapter on an engine and completes its load."""
     seat = find(placement, number, candidate(engine_id), now=now)
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     placement.complete(engine_id, key(number), at=now)
     return seat
 
@@ -76,7 +77,7 @@
     placement = make("e1", "e2")
     load(placement, 1, "e1", 0.0)
     seat = find(placement, 1, candidate("e1"), candidate("e2"), now=1.0)
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert (seat.engine_id, seat.new) == ("e1", False)
 
 
@@ -91,7 +92,7 @@
         now=1.0,
         avoid=frozenset({"e1"}),
     )
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert (seat.engine_id, seat.new) == ("e2", True)
 
 
@@ -102,7 +103,7 @@
     uses = {key(1): 5, key(2): 1, key(3): 4}
     placement.note_active("node", {}, uses, 1.0)
     seat = find(placement, 4, candidate("e1"), now=2.0)
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert seat.evict == key(2)
 
 
@@ -113,7 +114,7 @@
     active = {key(1): 1, key(2): 1, key(3): 1}
     placement.note_active("node", active, {}, 1.0)
     assert isinstance(
-        find(placement, 4, candidate("e1"), now=2.0), placement_lib.NoRoom
+        find(placement, 4, candidate("e1"), now=2.0), places_lib.NoRoom
     )
 
 
@@ -125,10 +126,10 @@
     early = ready + placement_lib.PROTECTED_SECONDS / 2
     late = ready + placement_lib.PROTECTED_SECONDS * 2
     assert isinstance(
-        find(placement, 4, candidate("e1"), now=early), placement_lib.NoRoom
+        find(placement, 4, candidate("e1"), now=early), places_lib.NoRoom
     )
     assert isinstance(
-        find(placement, 4, candidate("e1"), now=late), placement_lib.Seat
+        find(placement, 4, candidate("e1"), now=late), places_lib.Seat
     )
 
 
@@ -139,7 +140,7 @@
     placement.note_active("node", {}, {key(1): 9}, 1.0)
     placement.declare(key(1), 2)
     seat = find(placement, 4, candidate("e1"), now=2.0)
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert seat.evict == key(1)
 
 
@@ -148,7 +149,7 @@
     load(placement, 1, "e1", 0.0)
     placement.declare(key(1), 2)
     seat = find(placement, 1, candidate("e1"), now=2.0, version=2)
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert (seat.evict, seat.version, seat.new) == (key(1), 2, True)
 
 
@@ -158,7 +159,7 @@
     seat = find(
         placement, 7, candidate("e1", running=2), candidate("e2"), now=0.0
     )
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert seat.engine_id == "e1"
     assert seat.ready_at < placement.load_seconds / 2
 
@@ -178,7 +179,7 @@
         for number in range(6)
     ]
     engine_ids = [
-        seat.engine_id for seat in seats if isinstance(seat, placement_lib.Seat)
+        seat.engine_id for seat in seats if isinstance(seat, places_lib.Seat)
     ]
     assert sorted(engine_ids) == ["e1", "e1", "e2", "e2", "e3", "e3"]
 
@@ -192,7 +193,7 @@
         candidate("e2", running=4),
         now=0.0,
     )
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert seat.engine_id == "e2"
 
 
@@ -201,12 +202,12 @@
     placement.set_engine(
         "e1", capacity=10, residents={}, pending={}, in_memory=(), now=0.0
     )
-    wide = placement_lib.Candidate("e1", 10, SLOTS, engines.Work(), 0.0)
+    wide = places_lib.Candidate("e1", 10, SLOTS, engines.Work(), 0.0)
     found = [
         find(placement, number, wide, now=0.0)
         for number in range(placement_lib.MAX_LOADING + 1)
     ]
-    assert [isinstance(seat, placement_lib.Seat) for seat in found] == [
+    assert [isinstance(seat, places_lib.Seat) for seat in found] == [
         *[True] * placement_lib.MAX_LOADING,
         False,
     ]
@@ -234,9 +235,9 @@
     truth = 0.3
     for number in range(100):
         now = number * 0.01
-        wide = placement_lib.Candidate("e1", 200, SLOTS, engines.Work(), 0.0)
+        wide = places_lib.Candidate("e1", 200, SLOTS, engines.Work(), 0.0)
         if isinstance(
-            find(placement, number, wide, now=now), (placement_lib.NoRoom)
+            find(placement, number, wide, now=now), (places_lib.NoRoom)
         ):
             continue
         place = placement.complete("e1", key(number), at=now)
@@ -255,7 +256,7 @@
     place = placement.engines["e1"].places[key(1)]
     for _ in range(100):
         placement.note_absent("e1", key(1), place.ready_at)
-    assert place.state is placement_lib.State.MISSED
+    assert place.state is places_lib.State.MISSED
     limit = before * placement_lib.MAX_RISE_FACTOR
     assert placement.load_seconds <= limit
 
@@ -265,7 +266,7 @@
     load(placement, 1, "e1", 0.0)
     placement.note_absent("e1", key(1), 5.0)
     seat = find(placement, 1, candidate("e1"), now=5.1)
-    assert isinstance(seat, placement_lib.NoRoom)
+    assert isinstance(seat, places_lib.NoRoom)
     placement.settle("e1", {}, (), before=6.0, now=6.0)
     assert key(1) not in placement.engines["e1"].places
 
@@ -279,18 +280,18 @@
     placement.note_active("node", in_use, {}, 1.0)
     placement.note_absent("e1", key(1), 5.0)
     assert isinstance(
-        find(placement, 4, candidate("e1"), now=5.1), placement_lib.NoRoom
+        find(placement, 4, candidate("e1"), now=5.1), places_lib.NoRoom
     )
     placement.settle("e1", {key(1): 7}, (), before=6.0, now=6.0)
     place = placement.engines["e1"].places[key(1)]
-    assert (place.state, place.version) == (placement_lib.State.RESIDENT, 7)
+    assert (place.state, place.version) == (places_lib.State.RESIDENT, 7)
 
 
 def test_state_read_anew_ends_open_reservations() -> None:
     """Regression: they were ordered uncounted, and an engine overfilled."""
     placement = make("e1")
     seat = find(placement, 1, candidate("e1"), now=0.0)
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert placement.is_reserved(seat, key(1))
     placement.set_engine(
         "e1",
@@ -308,7 +309,7 @@
     for number in (1, 2, 3):
         load(placement, number, "e1", 0.0)
     seat = find(placement, 4, candidate("e1"), now=2.0)
-    assert isinstance(seat, placement_lib.Seat)
+    assert isinstance(seat, places_lib.Seat)
     assert seat.evict is not None
     placement.undo("e1", key(4), 2.0)
     placement.note_unloading("e1", seat.evict, 2.0)
@@ -360,7 +361,7 @@
         seat = find(
             placement, number, candidate("e1"), candidate("e2"), now=now
         )
-        if isinstance(seat, placement_lib.Seat) and seat.new:
+        if isinstance(seat, places_lib.Seat) and seat.new:
             placement.complete(seat.engine_id, key(number), at=now)
         for engine in placement.engines.values():
             assert len(engine.places) <= CAPACITY
