--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/versions.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/versions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import math
 from typing import final
 
 from _dogwoodhinge.fleet import models
@@ -12,6 +13,10 @@
 # own way to the engine.
 OLD_VERSION_GRACE = datetime.timedelta(seconds=2.5)
 
+# For versions that were found rather than seen to be declared: a process that
+# has just started can't know how old they are.
+LONG_AGO = -math.inf
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +35,13 @@
         self.declared: dict[models.AdapterKey, Declared] = {}
 
     def declare(self, key: models.AdapterKey, version: int, now: float) -> bool:
-        """Takes a declaration; False when it is not newer."""
+        """Takes a declaration; False when it is not newer.
+
+        Args:
+            key: the adapter.
+            version: its version.
+            now: loop time at which it was declared, or `LONG_AGO`.
+        """
         known = self.declared.get(key)
         if known is not None and known.version >= version:
             return False
--- a/packages/dogwoodhinge/testing/fleet/test_beliefs.py
+++ b/packages/dogwoodhinge/testing/fleet/test_beliefs.py
@@ -146,6 +146,13 @@
     assert known.lowest_allowed(KEY, 10.0 + age) == lowest
 
 
+def test_version_of_unknown_age_leaves_no_grace() -> None:
+    """Regression (VERSION): a restart began the grace of 2.5 s anew."""
+    known = versions.Versions()
+    known.declare(KEY, 2, versions.LONG_AGO)
+    assert known.lowest_allowed(KEY, 0.1) == 2
+
+
 def test_declaration_that_is_not_newer_changes_nothing() -> None:
     known = versions.Versions()
     assert known.declare(KEY, 3, 0.0)
