A long plain answer is checked before any of it is passed on

Cause: found by reading the change again: answers over 256 KiB were begun while they arrived, and a success without the engine's signature was noticed after that. The check stands before the body is read now, for all sizes alike. The test fails on the code before (the caller got a 200); the 57 tests of the request path pass.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -151,6 +151,7 @@
     ) -> bool:
         loop = asyncio.get_running_loop()
         head = opened.head
+        check_answer(head)
         whole: list[bytes] = []
         size = 0
         async for chunk in opened.chunks():
@@ -163,7 +164,6 @@
                 for kept in whole:
                     await reply.write(kept)
             await reply.write(chunk)
-        check_answer(head)
         if head.status >= 500:
             engine.health.note_failure(health_lib.Failure.ERROR, loop.time())
             if (
