A hand-over to a better node is no longer the step of a shutdown

Cause of the five known red cells shutdown/drain/*: the hand-over of an engine between nodes and the shutdown of a node reached one step, "drain". The cell armed it on the owner; a node that had joined shortly before (the last cell had ended one) ranked better, the owner handed over to it, and was stopped there, before the request that had to stream through it began.

Change: the hand-over has a step of its own, "hand_over", with its cells in the matrix, so what was covered by accident is covered by name. They wait for an owner that has recovered and keeps the engine: an owner that recovers hands over later than the pause the cells waited.

Test: test_rebalancing_is_no_step_of_a_shutdown failed before.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_cells.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_cells.py
@@ -6,6 +6,7 @@
 from typing import final
 import uuid
 
+from _dogwoodhinge import injection
 from dogwoodhinge_lab import faults_actions
 from dogwoodhinge_lab import faults_matrix
 from dogwoodhinge_lab import faults_operators
@@ -73,7 +74,7 @@
 
     async def _drive(self) -> None:
         owner = await self._owner()
-        if self.cell.victim is Victim.SUCCESSOR:
+        if self._needs_lasting_owner():
             owner = await self._lasting_owner()
         others = [n for n in self.world.fleet.running_nodes() if n is not owner]
         entry, witness = others
@@ -105,6 +106,13 @@
         if self.cell.path == "shutdown" and not actions.killed:
             await self._judge_exit(victim)
 
+    def _needs_lasting_owner(self) -> bool:
+        """Tells whether a hand-over before the trigger spoils the cell."""
+        return (
+            self.cell.victim is Victim.SUCCESSOR
+            or self.cell.step == injection.Step.HAND_OVER
+        )
+
     async def _owner(self) -> Node:
         async def find() -> Node | None:
             return await self.world.fleet.owner_of(faults_world.ENGINE)
@@ -115,13 +123,28 @@
         return found
 
     async def _lasting_owner(self) -> Node:
-        """Returns the owner once no better ranked node takes over from it."""
+        """Returns the owner once no better ranked node takes over from it.
+
+        An owner hands nothing over before it has recovered.
+        """
         while True:
-            owner = await self._owner()
+            owner: Node = await fleet_clients.poll_until(
+                self._recovered_owner,
+                what="an owner that has recovered the engine",
+                seconds=REACH_SECONDS,
+            )
             await asyncio.sleep(HAND_OVER_SECONDS)
-            if await self._owner() is owner:
+            if await self._recovered_owner() is owner:
                 return owner
 
+    async def _recovered_owner(self) -> Node | None:
+        for node in self.world.fleet.running_nodes():
+            status = await node.status()
+            for engine in status["engines"]:
+                if engine["engine_id"] == faults_world.ENGINE:
+                    return None if engine["frozen"] else node
+        return None
+
     async def _fill_slots(self, witness: Node) -> list[str]:
         """Fills the engine's slots, so that a new adapter evicts one."""
         resident = [BUSY_MODEL, f"description-{uuid.uuid4().hex}@v1"]
--- a/packages/dogwoodhinge/src/_dogwoodhinge/injection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/injection.py
@@ -47,6 +47,7 @@
     TAKEOVER = "takeover"
     RECOVER = "recover"
     DRAIN = "drain"
+    HAND_OVER = "hand_over"
 
 
 Action = Callable[[], Awaitable[None]]
--- a/packages/dogwoodhinge/src/_dogwoodhinge/ownership/handover.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/ownership/handover.py
@@ -68,7 +68,7 @@
             The new row; None when the change did not take effect, or may not
             have.
         """
-        await injection.reach(injection.Step.DRAIN)
+        await injection.reach(injection.Step.HAND_OVER)
         engine_id = held.endpoint.endpoint_id
         held.recovery.abandon()
         state = await self.adopter.drop(engine_id)
--- a/packages/dogwoodhinge/testing/ownership/test_ownership.py
+++ b/packages/dogwoodhinge/testing/ownership/test_ownership.py
@@ -255,6 +255,31 @@
         before = owned
 
 
+async def test_rebalancing_is_no_step_of_a_shutdown(
+    cluster: small_cluster.SmallCluster,
+) -> None:
+    """The fault matrix stopped an owner that handed over to a newcomer.
+
+    It had armed the first step of a shutdown, and the request that was to
+    stream through the leaving node never began.
+    """
+    reached: list[injection.Step] = []
+
+    async def note_drain() -> None:
+        reached.append(injection.Step.DRAIN)
+
+    async def note_hand_over() -> None:
+        reached.append(injection.Step.HAND_OVER)
+
+    await start_owned(cluster, nodes=1, engines=12, checks_fencing=True)
+    injection.arm(injection.Step.DRAIN, note_drain)
+    injection.arm(injection.Step.HAND_OVER, note_hand_over)
+    await cluster.add_node("newcomer").start()
+    await cluster.advance(60)
+    injection.disarm_all()
+    assert set(reached) == {injection.Step.HAND_OVER}
+
+
 @pytest.mark.parametrize("checks_fencing", FENCING)
 async def test_drain_hands_over_grants_and_residents(
     cluster: small_cluster.SmallCluster, checks_fencing: bool
