A silent kept connection is no longer taken for a crash

Cause: after a run was lost, the report of the engine was asked for once, over a kept connection, with one second. Where the kept connections had fallen silent, the engine that ran on was held for crashed: its request became a suspect of the quarantine, and the engine, the only one, was hidden, so the next requests were refused.

Ruled out: a crash (the engine answered 12 ms before), the epoch (unchanged).

Change: the report is asked for twice, and the engine's client gives up its kept connections in between; a refused connection is a crash at once, as before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/crashes.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/crashes.py
@@ -6,11 +6,20 @@
 import math
 from typing import final
 
+from absl import logging
+
 from _dogwoodhinge.dispatch import background
 from dogwoodhinge import errors as public_errors
 from dogwoodhinge import ports
 
-EPOCH_TIMEOUT = datetime.timedelta(seconds=1)
+# A little more than the engine's client allows a report, so that the client
+# gives up its silent connections.
+EPOCH_TIMEOUT = datetime.timedelta(seconds=1.2)
+
+# The second read goes over a new connection: kept ones may have fallen silent
+# while the engine runs on.
+READS = 2
+
 EPOCH_LIFETIME = datetime.timedelta(minutes=10)
 
 
@@ -67,15 +76,24 @@
 
     async def _read(self, engine: ports.Engine) -> bool:
         """Reads the epoch; returns whether the engine answered."""
-        try:
-            async with asyncio.timeout(EPOCH_TIMEOUT.total_seconds()):
-                report = await engine.report()
-        except (public_errors.EngineError, TimeoutError):
-            return False
-        engine_id = engine.endpoint.endpoint_id
+        for _ in range(READS):
+            try:
+                async with asyncio.timeout(EPOCH_TIMEOUT.total_seconds()):
+                    report = await engine.report()
+            except public_errors.EngineUnreachableError:
+                return False
+            except (public_errors.EngineError, TimeoutError) as error:
+                logging.info(
+                    "no report of %s: %r", engine.endpoint.endpoint_id, error
+                )
+                continue
+            self._take_epoch(engine.endpoint.endpoint_id, report.epoch)
+            return True
+        return False
+
+    def _take_epoch(self, engine_id: str, epoch: str) -> None:
         now = self.clock.monotonic()
         known = self.epochs.get(engine_id)
-        if known is not None and known.epoch != report.epoch:
+        if known is not None and known.epoch != epoch:
             self.crashed_at[engine_id] = now
-        self.epochs[engine_id] = KnownEpoch(report.epoch, now)
-        return True
+        self.epochs[engine_id] = KnownEpoch(epoch, now)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/openai_engine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/openai_engine.py
@@ -20,7 +20,7 @@
 from dogwoodhinge import ports
 
 HTTP_SCHEMES = ("http://", "https://")
-REPORT_TIMEOUT = datetime.timedelta(seconds=2)
+REPORT_TIMEOUT = datetime.timedelta(seconds=1)
 ORDER_TIMEOUT = datetime.timedelta(seconds=2)
 LOAD_TIMEOUT = datetime.timedelta(seconds=60)
 # Last resort: the dispatcher gives a stream up after the shorter gap that
