A conflict about one adapter no longer stops all loads on its engine

Cause: every conflict put the engine in doubt for 0.4 to 0.7 s, until its state was read anew. Engines also answer so when an earlier order on that adapter waits for its runs.

Ruled out: a wrong count of orders (the report shows the same count after each conflict).

Change: a first conflict holds up the one adapter: its place stays taken until the report tells where it is. Three in a row, or a report with another count, put the engine in doubt. order_failed tells the operation.

Tests: three in test_loader failed before.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
@@ -81,9 +81,11 @@
     Attributes:
         lose: how many of the next answers are lost; True where the order is
             carried out all the same.
+        held_up: adapters on which another order is still under way.
     """
 
     accepted: int = 0
+    held_up: set[models.AdapterKey] = dataclasses.field(default_factory=set)
     residents: set[models.AdapterKey] = dataclasses.field(default_factory=set)
     in_use: set[models.AdapterKey] = dataclasses.field(default_factory=set)
     lose: collections.deque[bool] = dataclasses.field(
@@ -152,7 +154,7 @@
         if lost:
             carried_out = self.lose.popleft()
         reply = orders.OrderReply.CONFLICT
-        if carried_out and count == self.accepted:
+        if carried_out and count == self.accepted and key not in self.held_up:
             reply = self._carry_out(operation, key)
         if lost:
             raise errors.EngineOutcomeUnknownError("no answer")
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -24,6 +24,11 @@
 # of them, see above.
 SENDS = 3
 
+# A conflict may concern one adapter, on which an earlier order is still under
+# way: its runs have to end. So many in a row mean that the engine has accepted
+# other orders than known here.
+CONFLICTS_TO_DOUBT = 3
+
 Report = Callable[[str, dict[str, object]], None]
 
 
@@ -51,6 +56,7 @@
         last_order_at: loop time of the last send.
         given_up_at: `orders_accepted` when an order without an answer was
             given up; it may still be carried out while that holds.
+        conflicts: conflicts since the last order that was accepted.
     """
 
     def __init__(self, entry: models.EngineEntry) -> None:
@@ -60,6 +66,7 @@
         self.in_doubt = True
         self.last_order_at = 0.0
         self.given_up_at: int | None = None
+        self.conflicts = 0
 
 
 @final
@@ -113,6 +120,7 @@
             await asyncio.sleep(rest)
         found = await self.orders.report(line.entry)
         line.orders_accepted = found.orders_accepted
+        line.conflicts = 0
         line.in_doubt = False
         residents = _residents(found)
         self.placement.set_engine(
@@ -165,7 +173,11 @@
             return
         loop = asyncio.get_running_loop()
         before = loop.time() - REPORT_LAG.total_seconds()
+        known = line.orders_accepted
         found = await self.orders.report(line.entry)
+        if line.last_order_at < before and found.orders_accepted != known:
+            line.in_doubt = True
+            return
         self.placement.settle(
             engine_id,
             _residents(found),
@@ -230,25 +242,32 @@
             try:
                 reply = await self._send_once(line, key, version, load=load)
             except errors.EngineOutcomeUnknownError as error:
-                self._note_failure(line, key, str(error), attempt)
+                self._note_failure(line, key, load, str(error), attempt)
                 continue
             except errors.EngineError as error:
-                self._note_failure(line, key, str(error), attempt)
+                self._note_failure(line, key, load, str(error), attempt)
+                line.in_doubt = True
                 break
             if reply in (
                 orders_lib.OrderReply.ACCEPTED,
                 orders_lib.OrderReply.DONE,
             ):
                 line.orders_accepted += 1
+                line.conflicts = 0
                 return reply
-            self._note_failure(line, key, reply.value, attempt)
+            self._note_failure(line, key, load, reply.value, attempt)
             if self._was_carried_out(line, reply, attempt):
                 line.orders_accepted += 1
+                line.conflicts = 0
                 return orders_lib.OrderReply.DONE
+            if self._concerns_adapter(line, reply, attempt):
+                self._hold_up(line, key)
+                break
+            line.in_doubt = True
             break
         else:
             line.given_up_at = line.orders_accepted
-        line.in_doubt = True
+            line.in_doubt = True
         raise OrderFailedError("the engine did not accept the order")
 
     def _was_carried_out(
@@ -266,6 +285,26 @@
             and line.given_up_at != line.orders_accepted
         )
 
+    def _concerns_adapter(
+        self, line: EngineLine, reply: orders_lib.OrderReply, attempt: int
+    ) -> bool:
+        """Tells whether a conflict is about the adapter, and not the count.
+
+        It may be about the count while an order without an answer is open.
+        """
+        return (
+            reply is orders_lib.OrderReply.CONFLICT
+            and attempt == 0
+            and line.given_up_at != line.orders_accepted
+        )
+
+    def _hold_up(self, line: EngineLine, key: models.AdapterKey) -> None:
+        line.conflicts += 1
+        if line.conflicts >= CONFLICTS_TO_DOUBT:
+            line.in_doubt = True
+        now = asyncio.get_running_loop().time()
+        self.placement.note_held_up(line.entry.engine_id, key, now)
+
     async def _send_once(
         self,
         line: EngineLine,
@@ -293,6 +332,7 @@
         self,
         line: EngineLine,
         key: models.AdapterKey,
+        load: bool,
         reason: str,
         attempt: int,
     ) -> None:
@@ -302,6 +342,7 @@
             {
                 "engine": line.entry.engine_id,
                 "adapter": str(key),
+                "operation": "load" if load else "unload",
                 "orders_accepted": line.orders_accepted,
                 "reason": reason,
                 "attempt": attempt,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -194,6 +194,25 @@
         self._give(candidate.engine_id, prompt_tokens, now)
         return self._reserve(key, version, candidate, victim, now)
 
+    def is_held(
+        self,
+        key: models.AdapterKey,
+        version: int,
+        *,
+        avoid: Collection[str],
+    ) -> bool:
+        """Tells whether an engine has an adapter, or soon will."""
+        for engine_id, engine in self.engines.items():
+            place = engine.places.get(key)
+            if (
+                place is not None
+                and place.version >= version
+                and place.state not in places_lib.UNSETTLED
+                and engine_id not in avoid
+            ):
+                return True
+        return False
+
     def is_reserved(
         self, seat: places_lib.Seat, key: models.AdapterKey
     ) -> bool:
@@ -225,9 +244,27 @@
         return place
 
     def undo(self, engine_id: str, key: models.AdapterKey, now: float) -> None:
-        """Frees a place: the adapter is gone, or was never loaded."""
+        """Frees a place whose load was never begun."""
+        engine = self.engines.get(engine_id)
+        place = None if engine is None else engine.places.get(key)
+        if engine is None or place is None:
+            return
+        if place.state is not places_lib.State.MISSED:
+            del engine.places[key]
+            self._note_change(engine_id, key, None, now)
+
+    def note_held_up(
+        self, engine_id: str, key: models.AdapterKey, now: float
+    ) -> None:
+        """Notes that the engine's report has to tell where an adapter is.
+
+        Until then its place is taken.
+        """
         engine = self.engines.get(engine_id)
-        if engine is not None and engine.places.pop(key, None) is not None:
+        if engine is not None:
+            engine.places[key] = places_lib.Place(
+                0, places_lib.State.MISSED, now, now
+            )
             self._note_change(engine_id, key, None, now)
 
     def note_unloading(
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -1,5 +1,6 @@
 """Tests of orders to engines whose answers are late or lost."""
 
+import asyncio
 import dataclasses
 
 import pytest
@@ -135,6 +136,49 @@
     assert bench.loader.lines["e1"].in_doubt
 
 
+async def test_conflict_about_one_adapter_leaves_the_engine_in_service(
+    bench: Bench,
+) -> None:
+    """Its engine took no load for half a second, again and again.
+
+    After a restart of all nodes each engine had an adapter whose unload
+    waited for runs; the new owner did not know, and chose it to make way.
+    """
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    bench.engine.held_up.add(KEY)
+    late = asyncio.get_running_loop().time() + 60.0
+    seat = bench.reserve(OTHER, late)
+    assert seat.evict == KEY
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(seat, OTHER)
+    assert not bench.loader.lines["e1"].in_doubt
+    bench.placement.undo("e1", OTHER, late)
+    assert set(bench.placement.engines["e1"].places) == {KEY}
+    assert not bench.placement.is_held(KEY, 0, avoid=())
+
+
+async def test_conflicts_in_a_row_put_the_engine_in_doubt(
+    bench: Bench,
+) -> None:
+    bench.engine.accepted += 1
+    for number in range(loader_lib.CONFLICTS_TO_DOUBT):
+        bench.placement.engines["e1"].places.clear()
+        key = models.AdapterKey("base", f"b{number}")
+        assert not bench.loader.lines["e1"].in_doubt
+        with pytest.raises(loader_lib.OrderFailedError):
+            await bench.loader.load(bench.reserve(key, 0.0), key)
+    assert bench.loader.lines["e1"].in_doubt
+
+
+async def test_report_with_another_count_of_orders_puts_in_doubt(
+    bench: Bench,
+) -> None:
+    bench.engine.accepted += 1
+    bench.loader.lines["e1"].last_order_at = -60.0
+    await bench.loader.settle("e1")
+    assert bench.loader.lines["e1"].in_doubt
+
+
 async def test_no_order_without_the_right(bench: Bench) -> None:
     seat = bench.reserve(KEY, 0.0)
     bench.may_order = False
