Requests wait for a place in line, and are turned away by its pace

Cause: where all places were taken, each request asked the owner again every 60 to 150 ms. Who got a place was chance; late ones took it before those who could still be on time, and others were refused after 1.5 s of waiting though the line showed from the start that they had no chance.

Change: fleet.waiting decides the order (those who can be on time, by urgency, then the late, by the time they have left) and who is turned away at once, with Retry-After from the line's length and pace; fleet.place_line keeps the wishes at the owner; nodes ask again every 0.4 s at most, so that a dead owner is noticed. Want, asked of the owner, moved to fleet.places.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
@@ -3,7 +3,8 @@
 A small engine fake has what the deployments' sheets state: places for
 adapters, slots, the time of a load, the speed at which prompts are read. For
 each pattern one line is printed: the share of requests whose first event is
-on time, for the decisions as they are and for two plain ways.
+on time, for the decisions as they are, for the same without a line in which
+requests wait for a place, and for two plain ways.
 """
 
 import collections
@@ -21,6 +22,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import places as places_lib
+from _dogwoodhinge.fleet import waiting
 
 # From the sheets of today's deployments.
 ENGINES = 5
@@ -40,9 +42,16 @@
 SHORT_TOKENS = 650
 GENERATE_SECONDS = 0.4
 
-# A request that finds no place asks again after this time, this often.
+# Without a line, a request that finds no place asks again after this time. It
+# may wait as long either way.
 ASK_AGAIN_SECONDS = 0.1
 MAX_ASKS = 15
+SERVE_LINE_SECONDS = 0.02
+
+# The plan for two years: the first token in time for 95 of 100 requests. At a
+# crest beyond the places that are left, 0.7 of a calm day's share.
+TARGET_SHARE = 0.95
+CREST_SHARE = 0.7
 
 
 @final
@@ -63,13 +72,15 @@
     Attributes:
         arrivals: makes the requests.
         dark: engines that take nothing between two times.
-        gain: the decisions answer this load, and plain ways fall behind.
+        behind: ways that fall behind the decisions, which answer this load.
+        target: share that has to be on time.
     """
 
     name: str
     arrivals: Callable[[random.Random], Iterator[Arrival]]
     dark: tuple[tuple[int, float, float], ...] = ()
-    gain: bool = True
+    behind: tuple[str, ...] = ()
+    target: float = TARGET_SHARE
 
 
 class Way(Protocol):
@@ -80,6 +91,9 @@
     ) -> tuple[int, float] | None:
         """Returns the engine and the seconds that a load takes; or None."""
 
+    def holds(self, adapter: int) -> bool:
+        """Tells whether an engine has an adapter, or soon will."""
+
     def begin(self, engine: int, adapter: int, tokens: int) -> None:
         """Notes that a request begins on an engine."""
 
@@ -142,6 +156,10 @@
             ready_at += placement_lib.TOO_EARLY_PAUSE_SECONDS
         return engine, max(0.0, ready_at - now)
 
+    def holds(self, adapter: int) -> bool:
+        """Asks the placement."""
+        return self.placement.is_held(_key(adapter), 0, avoid=())
+
     def begin(self, engine: int, adapter: int, tokens: int) -> None:
         """Counts a request."""
         key = _key(adapter)
@@ -211,6 +229,10 @@
         self.ready[engine, adapter] = now + LOAD_SECONDS
         return engine, LOAD_SECONDS
 
+    def holds(self, adapter: int) -> bool:
+        """Looks on all engines."""
+        return any(adapter in used for used in self.used)
+
     def begin(self, engine: int, adapter: int, tokens: int) -> None:
         """Counts a request."""
         self.running[engine] += 1
@@ -245,12 +267,23 @@
         return self.on_time / max(1, self.asked)
 
 
-def replay(pattern: Pattern, way: Way, *, seed: int) -> Result:
-    """Plays one pattern."""
+def replay(
+    pattern: Pattern, way: Way, *, seed: int, in_line: bool = False
+) -> Result:
+    """Plays one pattern.
+
+    Args:
+        pattern: the load.
+        way: decides where requests run.
+        seed: of the load.
+        in_line: requests without a place wait in line for one.
+    """
     result = Result()
     order = itertools.count()
     events: list[tuple[float, int, Callable[[float], None]]] = []
     free_at = [0.0] * ENGINES
+    line = waiting.WaitingLine()
+    waiters: dict[waiting.Waiter, Arrival] = {}
 
     def at(time: float, step: Callable[[float], None]) -> None:
         heapq.heappush(events, (time, next(order), step))
@@ -259,12 +292,22 @@
         dark = {e for e, start, end in pattern.dark if start <= now < end}
         return [engine for engine in range(ENGINES) if engine not in dark]
 
-    def ask(request: Arrival, asks: int, now: float) -> None:
+    def place(request: Arrival, now: float) -> bool:
         placed = way.place(request.adapter, request.tokens, usable(now), now)
-        if placed is not None:
-            engine, load = placed
-            way.begin(engine, request.adapter, request.tokens)
-            at(now + load, lambda t: run(request, engine, t))
+        if placed is None:
+            return False
+        engine, load = placed
+        way.begin(engine, request.adapter, request.tokens)
+        at(now + load, lambda t: run(request, engine, t))
+        return True
+
+    def ask(request: Arrival, asks: int, now: float) -> None:
+        if in_line and waiters and not way.holds(request.adapter):
+            join(request, now)
+        elif place(request, now):
+            line.note_given(now)
+        elif in_line:
+            join(request, now)
         elif asks < MAX_ASKS:
             at(
                 now + ASK_AGAIN_SECONDS,
@@ -273,6 +316,34 @@
         else:
             result.refused += 1
 
+    def join(request: Arrival, now: float) -> None:
+        waiter = waiting.Waiter(
+            request.at + TARGET_SECONDS,
+            request.at + ASK_AGAIN_SECONDS * MAX_ASKS,
+        )
+        if line.is_hopeless(waiter, now, lead=LOAD_SECONDS):
+            result.refused += 1
+            return
+        if not waiters:
+            at(now + SERVE_LINE_SECONDS, serve)
+        line.join(waiter, now)
+        waiters[waiter] = request
+
+    def serve(now: float) -> None:
+        full = False
+        for waiter in line.in_order(now, lead=LOAD_SECONDS):
+            if not full and place(waiters[waiter], now):
+                line.note_given(now)
+            elif now >= waiter.leave_at:
+                result.refused += 1
+            else:
+                full = True
+                continue
+            line.leave(waiter)
+            del waiters[waiter]
+        if waiters:
+            at(now + SERVE_LINE_SECONDS, serve)
+
     def run(request: Arrival, engine: int, now: float) -> None:
         start = max(now, free_at[engine])
         first = start + request.tokens / READ_TOKENS_PER_SECOND
@@ -358,22 +429,40 @@
     )
 
 
+def _crest(draw: random.Random) -> Iterator[Arrival]:
+    return _requests(
+        draw,
+        rate=lambda t: 110 if 6 < t < 14 else 60,
+        adapter=lambda t: (_zipf(draw) + 37 * int(t / 3)) % ADAPTERS,
+    )
+
+
+PLAIN_WAYS = ("least_requests", "hashed")
+
 PATTERNS = (
-    Pattern("calm", _calm, gain=False),
-    Pattern("wave", _wave),
-    Pattern("burst", _burst),
-    Pattern("rare_adapters", _rare, gain=False),
-    Pattern("demand_moves", _shift, gain=False),
+    Pattern("calm", _calm),
+    Pattern("wave", _wave, behind=PLAIN_WAYS),
+    Pattern("burst", _burst, behind=PLAIN_WAYS),
+    Pattern("rare_adapters", _rare),
+    Pattern("demand_moves", _shift),
     Pattern(
         "engines_dark",
         _calm,
         dark=((0, 8, 12), (1, 8, 12)),
-        gain=False,
+    ),
+    Pattern(
+        "crest_dark",
+        _crest,
+        dark=((0, 6, 14), (1, 6, 14)),
+        behind=("asks_again", *PLAIN_WAYS),
+        target=CREST_SHARE,
     ),
 )
 
+OURS = "ours"
 WAYS: dict[str, Callable[[], Way]] = {
-    "ours": Ours,
+    OURS: Ours,
+    "asks_again": Ours,
     "least_requests": Plain,
     "hashed": lambda: Plain(hashed=True),
 }
@@ -383,7 +472,10 @@
 
 def mean_share(pattern: Pattern, way: str) -> float:
     """Returns the mean share on time over the seeds."""
-    shares = [replay(pattern, WAYS[way](), seed=seed).share for seed in SEEDS]
+    shares = [
+        replay(pattern, WAYS[way](), seed=seed, in_line=way == OURS).share
+        for seed in SEEDS
+    ]
     return sum(shares) / len(shares)
 
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -5,6 +5,7 @@
 import dataclasses
 import datetime
 import math
+import random
 from typing import final
 
 import mode
@@ -17,6 +18,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease as order_lease_lib
 from _dogwoodhinge.fleet import orders as orders_lib
+from _dogwoodhinge.fleet import place_line as place_line_lib
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import places as places_lib
 from dogwoodhinge import errors
@@ -40,22 +42,14 @@
 # Wishes without a place come in crowds; one line tells of all within this time.
 REFUSED_LOG_EVERY = datetime.timedelta(milliseconds=100)
 
+# From the end of a load to the first event: the way, and the reading of a short
+# prompt at usual load.
+FIRST_EVENT_SECONDS = 0.08
+
 # An order that comes between two others of the same engine waits for them.
 RETRY_SOON = datetime.timedelta(milliseconds=200)
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Want:
-    """A node's wish for an adapter on some engine."""
-
-    key: models.AdapterKey
-    version: int
-    avoid: frozenset[str] = frozenset()
-    absent_from: str = ""
-    prompt_tokens: int = 0
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Use:
@@ -117,6 +111,14 @@
         self.base_models = base_models_lib.BaseModelLoads()
         self.nodes: dict[str, NodeUse] = {}
         self.reading: dict[str, asyncio.Task[None]] = {}
+        self.line = place_line_lib.PlaceLine(
+            find=self._find,
+            load=self._load,
+            lead=lambda: (
+                self.placement.expected_load(True) + FIRST_EVENT_SECONDS
+            ),
+            draw=random.Random(),
+        )
         self.refused = 0
         self.refused_logged_at = -math.inf
         self.loads: set[asyncio.Task[None]] = set()
@@ -124,12 +126,14 @@
 
     # Calls of peers
 
-    async def place(self, want: Want) -> places_lib.Seat:
+    async def place(self, want: places_lib.Want) -> places_lib.Seat:
         """Finds a place for an adapter and orders its load.
 
+        While others wait for a place, a new one is had in its turn only.
+
         Raises:
             NotOwnerError: this node gives no orders.
-            NoRoomError: no engine can take it now.
+            NoRoomError: there was no place while it may wait.
         """
         if not self.lease.may_order():
             raise NotOwnerError("this node does not hold the order lease")
@@ -138,7 +142,22 @@
             self.placement.note_absent(want.absent_from, want.key, now)
         if want.version > self.placement.newest.get(want.key, 0):
             self.placement.declare(want.key, want.version)
-        found = self.placement.find(
+        if self.line.waits and not self.placement.is_held(
+            want.key, want.version, avoid=want.avoid
+        ):
+            return await self._wait(want)
+        found = self._find(want, now)
+        if isinstance(found, places_lib.NoRoom):
+            return await self._wait(want)
+        if found.new:
+            self.line.note_given()
+            return await self._load(found, want)
+        return found
+
+    def _find(
+        self, want: places_lib.Want, now: float
+    ) -> places_lib.Seat | places_lib.NoRoom:
+        return self.placement.find(
             want.key,
             want.version,
             self._candidates(want.key.model, now),
@@ -146,16 +165,19 @@
             prompt_tokens=want.prompt_tokens,
             now=now,
         )
-        if isinstance(found, places_lib.NoRoom):
-            self._note_refused(want, found, now)
-            raise NoRoomError(found.retry_after)
-        if found.new:
-            return await self._load(found, want.key)
-        return found
+
+    async def _wait(self, want: places_lib.Want) -> places_lib.Seat:
+        try:
+            return await self.line.wait(want)
+        except place_line_lib.NoRoomError as error:
+            if error.final:
+                self._note_refused(want, error.retry_after)
+            raise
 
     def _note_refused(
-        self, want: Want, found: places_lib.NoRoom, now: float
+        self, want: places_lib.Want, retry_after: datetime.timedelta
     ) -> None:
+        now = asyncio.get_running_loop().time()
         self.refused += 1
         if now - self.refused_logged_at < REFUSED_LOG_EVERY.total_seconds():
             return
@@ -165,7 +187,10 @@
                 "adapter": str(want.key),
                 "version": want.version,
                 "avoid": ",".join(want.avoid),
-                "retry_after_ms": int(found.retry_after.total_seconds() * 1000),
+                "patience_ms": int(want.patience_seconds * 1000),
+                "waiting": len(self.line.wishes),
+                "places_a_second": round(self.line.line.pace(now), 1),
+                "retry_after_ms": int(retry_after.total_seconds() * 1000),
                 "count": self.refused,
             },
         )
@@ -173,8 +198,9 @@
         self.refused_logged_at = now
 
     async def _load(
-        self, seat: places_lib.Seat, key: models.AdapterKey
+        self, seat: places_lib.Seat, want: places_lib.Want
     ) -> places_lib.Seat:
+        key = want.key
         loop = asyncio.get_running_loop()
         decided_at = loop.time()
         try:
@@ -183,7 +209,7 @@
         except loader_lib.OrderFailedError as error:
             self.placement.undo(seat.engine_id, key, loop.time())
             self._read_soon(seat.engine_id)
-            raise NoRoomError(RETRY_SOON) from error
+            raise place_line_lib.NoRoomError(RETRY_SOON) from error
         place = self.placement.engines[seat.engine_id].places.get(key)
         ready_at = seat.ready_at if place is None else place.ready_at
         self.report(
@@ -413,15 +439,3 @@
             return None
         service = configuration.services.get(engine.entry.service)
         return None if service is None else service.engine
-
-
-class NoRoomError(errors.DogwoodhingeError):
-    """No engine can take an adapter now.
-
-    Attributes:
-        retry_after: when a place may be had.
-    """
-
-    def __init__(self, retry_after: datetime.timedelta) -> None:
-        super().__init__("no engine can take the adapter now")
-        self.retry_after = retry_after
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -19,9 +19,11 @@
 from _dogwoodhinge.fleet import news as news_lib
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import owner as owner_lib
+from _dogwoodhinge.fleet import place_line
 from _dogwoodhinge.fleet import places as places_lib
 
-# A call crosses one zone border and may wait for two orders to one engine.
+# A call crosses one zone border, may wait for its turn, and then for two orders
+# to one engine.
 PLACE_TIMEOUT = datetime.timedelta(milliseconds=900)
 SYNC_TIMEOUT = datetime.timedelta(milliseconds=400)
 
@@ -92,24 +94,29 @@
         self, request: fleet_pb2.PlaceRequest
     ) -> fleet_pb2.PlaceReply:
         """Answers one wish."""
-        want = owner_lib.Want(
+        want = places_lib.Want(
             key=models.AdapterKey(request.model, request.adapter),
             version=request.version,
             avoid=frozenset(request.avoid),
             absent_from=request.absent_from,
             prompt_tokens=request.prompt_tokens,
+            seconds_to_target=request.target_in_ms / 1000,
+            patience_seconds=request.patience_ms / 1000,
         )
         try:
             seat = await self.owner.place(want)
         except owner_lib.NotOwnerError:
             return fleet_pb2.PlaceReply(not_owner=True)
-        except owner_lib.NoRoomError as error:
+        except place_line.NoRoomError as error:
             retry_after = error.retry_after.total_seconds()
-            return fleet_pb2.PlaceReply(retry_after_ms=int(retry_after * 1000))
+            return fleet_pb2.PlaceReply(
+                retry_after_ms=int(retry_after * 1000), final=error.final
+            )
         return fleet_pb2.PlaceReply(
             engine_id=seat.engine_id,
             version=seat.version,
             ready_in_ms=_milliseconds_until(seat.ready_at),
+            places_short=self.owner.line.waits,
         )
 
     def sync(self, request: fleet_pb2.SyncRequest) -> fleet_pb2.SyncReply:
@@ -203,7 +210,7 @@
         peers: addresses of some of them.
         lease_revision: of the order lease's row, as the owner told it.
         owner_may_order: the owner's right counted at the last exchange.
-        no_room_at: loop time of the last wish that found no place.
+        no_room_at: loop time at which places were last known to be short.
     """
 
     def __init__(
@@ -232,7 +239,7 @@
 
     async def place(
         self,
-        want: owner_lib.Want,
+        want: places_lib.Want,
         *,
         timeout: datetime.timedelta = PLACE_TIMEOUT,
     ) -> places_lib.Seat:
@@ -250,6 +257,8 @@
             avoid=sorted(want.avoid),
             absent_from=want.absent_from,
             prompt_tokens=want.prompt_tokens,
+            target_in_ms=max(0, round(want.seconds_to_target * 1000)),
+            patience_ms=max(0, round(want.patience_seconds * 1000)),
         )
         if self._is_local():
             reply = await self.local.place(request)
@@ -257,12 +266,14 @@
             reply = await self._call(lambda stub: stub.Place(request), timeout)
         if reply.not_owner:
             raise owner_lib.NotOwnerError("the owner has changed")
+        now = asyncio.get_running_loop().time()
+        if reply.places_short or not reply.engine_id:
+            self.no_room_at = now
         if not reply.engine_id:
-            self.no_room_at = asyncio.get_running_loop().time()
-            raise owner_lib.NoRoomError(
-                datetime.timedelta(milliseconds=reply.retry_after_ms)
+            raise place_line.NoRoomError(
+                datetime.timedelta(milliseconds=reply.retry_after_ms),
+                final=reply.final,
             )
-        now = asyncio.get_running_loop().time()
         return places_lib.Seat(
             engine_id=reply.engine_id,
             version=reply.version,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
@@ -107,6 +107,29 @@
     penalty: float
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Want:
+    """A node's wish for an adapter on some engine.
+
+    Attributes:
+        version: the oldest version that will do; 0 for any.
+        avoid: engines that the asker can't use.
+        absent_from: an engine that just said it does not have it.
+        prompt_tokens: of the request that asks.
+        seconds_to_target: until its first event would be late.
+        patience_seconds: it may wait for a place so long.
+    """
+
+    key: models.AdapterKey
+    version: int
+    avoid: frozenset[str] = frozenset()
+    absent_from: str = ""
+    prompt_tokens: int = 0
+    seconds_to_target: float = 0.0
+    patience_seconds: float = 0.0
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Seat:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -58,9 +58,12 @@
 
     def time_to_target(self) -> float:
         """Returns the seconds until the first event would be late."""
-        target = self.route.latency_target.total_seconds()
-        now = asyncio.get_running_loop().time()
-        return self.received_at + target - now
+        return self.target_at - asyncio.get_running_loop().time()
+
+    @property
+    def target_at(self) -> float:
+        """Loop time from which the first event is late."""
+        return self.received_at + self.route.latency_target.total_seconds()
 
     @property
     def give_up_at(self) -> float:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
@@ -39,9 +39,17 @@
     Attributes:
         reason: short name for logs and metrics.
         retry_after: when there will be room.
+        final: there will be none while the request can wait.
     """
 
-    def __init__(self, reason: str, *, retry_after: datetime.timedelta) -> None:
+    def __init__(
+        self,
+        reason: str,
+        *,
+        retry_after: datetime.timedelta,
+        final: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after = retry_after
+        self.final = final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -12,6 +12,8 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import owner as owner_lib
 from _dogwoodhinge.fleet import owner_link as owner_link_lib
+from _dogwoodhinge.fleet import place_line
+from _dogwoodhinge.fleet import places as places_lib
 from _dogwoodhinge.fleet import versions as versions_lib
 from _dogwoodhinge.gateway import errors
 
@@ -20,6 +22,8 @@
 # late; a refused caller would come back into the same crowd.
 WAIT_FOR_PLACE = 0.25
 
+NO_PLACE = "no_place"
+
 ASK_AGAIN_AFTER = datetime.timedelta(milliseconds=60)
 
 MAX_PAUSE = datetime.timedelta(milliseconds=150)
@@ -77,6 +81,7 @@
         avoid: Collection[str],
         absent_from: str,
         prompt_tokens: int,
+        target_at: float,
         wait_until: float,
     ) -> Found:
         """Finds an engine and waits until the adapter is ready on it.
@@ -87,6 +92,7 @@
             avoid: engines that were tried.
             absent_from: an engine that just said it does not have it.
             prompt_tokens: of the request.
+            target_at: loop time from which its first event is late.
             wait_until: loop time up to which a place is waited for.
 
         Raises:
@@ -94,33 +100,41 @@
         """
         loop = asyncio.get_running_loop()
         while True:
-            found = await self._find_once(
-                service, key, avoid, absent_from, prompt_tokens
+            asked_at = loop.time()
+            want = places_lib.Want(
+                key=key,
+                version=self.versions.newest(key) or 0,
+                avoid=frozenset(avoid),
+                absent_from=absent_from,
+                prompt_tokens=prompt_tokens,
+                seconds_to_target=target_at - asked_at,
+                patience_seconds=wait_until - asked_at,
             )
+            found = await self._find_once(service, want)
             if isinstance(found, Found):
                 return found
             absent_from = ""
-            pause = max(
-                ASK_AGAIN_AFTER.total_seconds(),
-                min(found.retry_after, MAX_PAUSE).total_seconds(),
-            )
-            if loop.time() + pause > wait_until:
+            if found.reason == NO_PLACE:
+                # The owner has made the request wait for its turn already.
+                pause = asked_at + ASK_AGAIN_AFTER.total_seconds() - loop.time()
+            else:
+                pause = max(
+                    ASK_AGAIN_AFTER.total_seconds(),
+                    min(found.retry_after, MAX_PAUSE).total_seconds(),
+                )
+            if found.final or loop.time() + pause > wait_until:
                 raise found
-            await asyncio.sleep(pause)
+            await asyncio.sleep(max(0.0, pause))
 
     async def _find_once(
-        self,
-        service: str,
-        key: models.AdapterKey,
-        avoid: Collection[str],
-        absent_from: str,
-        prompt_tokens: int,
+        self, service: str, want: places_lib.Want
     ) -> "Found | errors.RefusedError":
         now = asyncio.get_running_loop().time()
+        key = want.key
         engines = [
             e
             for e in self.directory.serving(service)
-            if e.engine_id not in avoid
+            if e.engine_id not in want.avoid
         ]
         if not engines:
             return errors.RefusedError(
@@ -128,22 +142,22 @@
             )
         if not key.adapter:
             return self._any_with_model(engines, key.model, now)
-        newest = self.versions.newest(key) or 0
-        holders = self._usable_holders(service, key, newest, avoid, now)
-        if holders and not absent_from:
+        holders = self._usable_holders(
+            service, key, want.version, want.avoid, now
+        )
+        if holders and not want.absent_from:
             crowded = self._crowded(engines, holders)
             if not crowded:
-                return await self._use_holder(holders, key, newest, now)
+                return await self._use_holder(holders, key, want.version, now)
+            copy = dataclasses.replace(
+                want, avoid=want.avoid | crowded, patience_seconds=0.0
+            )
             try:
-                return await self._place(
-                    service, key, newest, {*avoid, *crowded}, "", prompt_tokens
-                )
+                return await self._place(service, copy)
             except errors.RefusedError:
-                return await self._use_holder(holders, key, newest, now)
+                return await self._use_holder(holders, key, want.version, now)
         try:
-            return await self._place(
-                service, key, newest, avoid, absent_from, prompt_tokens
-            )
+            return await self._place(service, want)
         except errors.RefusedError as error:
             return error
 
@@ -167,7 +181,7 @@
         self,
         engines: list[engines_lib.Engine],
         holders: list[tuple[engines_lib.Engine, engines_lib.Holding]],
-    ) -> set[str]:
+    ) -> frozenset[str]:
         """Returns the holders, if a load elsewhere is faster than they are."""
         emptiest = min(choice.load(e.work, e.entry.slots) for e in engines)
         loads = {
@@ -176,8 +190,8 @@
         }
         least = min(loads.values())
         if least < CROWDED_LOAD or least - emptiest < LOAD_DIFFERENCE_FOR_COPY:
-            return set()
-        return set(loads)
+            return frozenset()
+        return frozenset(loads)
 
     async def _use_holder(
         self,
@@ -213,46 +227,37 @@
             )
         return Found(engine=engine, version=None, found_by="model")
 
-    async def _place(
-        self,
-        service: str,
-        key: models.AdapterKey,
-        newest: int,
-        avoid: Collection[str],
-        absent_from: str,
-        prompt_tokens: int,
-    ) -> Found:
-        now = asyncio.get_running_loop().time()
+    async def _place(self, service: str, want: places_lib.Want) -> Found:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
         shunned = {
             e.engine_id
             for e in self.directory.serving(service)
             if e.health.to_be_avoided(now)
         }
-        want = owner_lib.Want(
-            key=key,
-            version=newest,
-            avoid=frozenset(avoid) | shunned,
-            absent_from=absent_from,
-            prompt_tokens=prompt_tokens,
-        )
         try:
-            seat = await self.link.place(want)
-        except owner_lib.NoRoomError as error:
+            seat = await self.link.place(
+                dataclasses.replace(want, avoid=want.avoid | shunned)
+            )
+        except place_line.NoRoomError as error:
             raise errors.RefusedError(
-                "no_place", retry_after=error.retry_after
+                NO_PLACE, retry_after=error.retry_after, final=error.final
             ) from error
         except owner_lib.NotOwnerError:
-            return self._use_older(service, key, avoid)
+            return self._use_older(service, want.key, want.avoid)
         engine = self.directory.engines.get(seat.engine_id)
         if engine is None or engine.leaving:
             raise errors.RefusedError(
                 "engine_left", retry_after=RETRY_WITHOUT_ENGINE
             )
-        engine.holdings[key] = engines_lib.Holding(seat.version, seat.ready_at)
-        loop = asyncio.get_running_loop()
+        engine.holdings[want.key] = engines_lib.Holding(
+            seat.version, seat.ready_at
+        )
         if seat.ready_at > loop.time():
             await asyncio.sleep(seat.ready_at - loop.time())
-        return Found(engine=engine, version=newest or None, found_by="placed")
+        return Found(
+            engine=engine, version=want.version or None, found_by="placed"
+        )
 
     def _use_older(
         self,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -107,6 +107,7 @@
             avoid=call.to_avoid,
             absent_from=absent_from,
             prompt_tokens=call.request.prompt_tokens,
+            target_at=call.target_at,
             wait_until=call.received_at + time * seats_lib.WAIT_FOR_PLACE,
         )
         call.found_by = found.found_by
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -18,6 +18,8 @@
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import owner as owner_lib
 from _dogwoodhinge.fleet import owner_link
+from _dogwoodhinge.fleet import place_line
+from _dogwoodhinge.fleet import places as places_lib
 from dogwoodhinge_lab import fleet_fakes
 
 KEY = models.AdapterKey("base", "a1")
@@ -192,7 +194,7 @@
     node: Node, orders: fleet_fakes.FakeOrders
 ) -> None:
     await knows_engine(node)
-    seat = await node.link.place(owner_lib.Want(key=KEY, version=0))
+    seat = await node.link.place(places_lib.Want(key=KEY, version=0))
     assert seat.engine_id == "e1"
     assert orders.residents == {KEY}
 
@@ -203,11 +205,11 @@
     """Regression: mode ended the service at the first failed order."""
     await knows_engine(node)
     orders.lose.extend([False] * loader.SENDS)
-    with pytest.raises(owner_lib.NoRoomError):
-        await node.link.place(owner_lib.Want(key=KEY, version=0))
+    with pytest.raises(place_line.NoRoomError):
+        await node.link.place(places_lib.Want(key=KEY, version=0))
     await knows_engine(node)
     assert not node.owner.should_stop
-    assert await node.link.place(owner_lib.Want(key=KEY, version=0))
+    assert await node.link.place(places_lib.Want(key=KEY, version=0))
 
 
 async def test_engine_without_a_base_model_gets_one(
@@ -231,7 +233,7 @@
     other.directory.update(entry(), now=0.0)
     await other.start()
     await until(lambda: other.link.address())
-    await other.link.place(owner_lib.Want(key=KEY, version=0))
+    await other.link.place(places_lib.Want(key=KEY, version=0))
     assert orders.residents == {KEY}
     await until(lambda: node.directory.holders("llm", KEY))
     await until(lambda: other.directory.holders("llm", KEY))
@@ -251,7 +253,7 @@
     await first.stop()
     await until(second.lease.may_order)
     await knows_engine(second)
-    assert await second.link.place(owner_lib.Want(key=KEY, version=0))
+    assert await second.link.place(places_lib.Want(key=KEY, version=0))
     assert second.lease.token == 2
     await second.stop()
 
@@ -260,15 +262,15 @@
     node: Node, orders: fleet_fakes.FakeOrders
 ) -> None:
     await knows_engine(node)
-    await node.link.place(owner_lib.Want(key=KEY, version=0))
+    await node.link.place(places_lib.Want(key=KEY, version=0))
     request = fleet_pb2.SyncRequest(
         adapters=[fleet_pb2.AdapterUse(model="base", adapter="a1", active=1)]
     )
     await node.link.sync(request)
     await asyncio.sleep(0.8)
     await node.link.sync(request)
-    with pytest.raises(owner_lib.NoRoomError):
-        await node.link.place(owner_lib.Want(key=OTHER, version=0))
+    with pytest.raises(place_line.NoRoomError):
+        await node.link.place(places_lib.Want(key=OTHER, version=0))
     assert orders.residents == {KEY}
 
 
@@ -277,7 +279,7 @@
 ) -> None:
     node = make("n1", table, orders)
     with pytest.raises(owner_lib.NotOwnerError):
-        await node.owner.place(owner_lib.Want(key=KEY, version=0))
+        await node.owner.place(places_lib.Want(key=KEY, version=0))
     assert orders.sent == []
 
 
