The budget of second sends is shared by the nodes there are

Cause: nobody told the budget how many nodes share its fixed extra; it took eight for granted.

Change: the budget asks the link for the nodes that the owner counts, and goes by the most of a window, since nodes that are cut off go on spending. Until it knows, it has no part of the extra.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/second_sends.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/second_sends.py
@@ -5,9 +5,11 @@
 
 A node can't see what the others send, so it keeps to its own part: a share of
 the requests that it received itself, and an equal part of the fixed extra.
+Until it knows how many nodes there are, it has no part of the extra.
 """
 
 import collections
+from collections.abc import Callable
 import datetime
 from typing import final
 
@@ -16,10 +18,6 @@
 # is used up to this part only.
 RATIO_USED = 0.8
 
-# The extra is divided by the nodes that are known; while that is unknown, by
-# this many.
-DEFAULT_NODES = 8
-
 # Part of the fixed extra that is spent; the rest covers nodes that have
 # joined a moment ago.
 EXTRA_USED = 0.8
@@ -32,16 +30,23 @@
     Attributes:
         ratio: second sends allowed for each request.
         extra: second sends allowed beside, over all nodes, in a window.
-        nodes: nodes that share the extra.
+        nodes: tells how many nodes share the extra; 0 when unknown.
     """
 
     def __init__(
-        self, *, ratio: float, extra: float, window: datetime.timedelta
+        self,
+        *,
+        ratio: float,
+        extra: float,
+        window: datetime.timedelta,
+        nodes: Callable[[], int],
     ) -> None:
         self.ratio = ratio
         self.extra = extra
         self.window = window.total_seconds()
-        self.nodes = DEFAULT_NODES
+        self.nodes = nodes
+        self.most_nodes = 0
+        self.most_nodes_at = 0.0
         self.requests: dict[str, collections.deque[float]] = {}
         self.sends: dict[str, collections.deque[float]] = {}
 
@@ -53,12 +58,22 @@
         """Returns the second sends that this node may still make."""
         requests = len(self._recent(self.requests, service, now))
         sent = len(self._recent(self.sends, service, now))
-        allowed = (
-            self.ratio * RATIO_USED * requests
-            + self.extra * EXTRA_USED / max(1, self.nodes)
-        )
+        allowed = self.ratio * RATIO_USED * requests
+        if nodes := self._sharing(now):
+            allowed += self.extra * EXTRA_USED / nodes
         return allowed - sent
 
+    def _sharing(self, now: float) -> int:
+        """Returns the most nodes known within a window.
+
+        Nodes that are cut off are counted no longer, but go on spending.
+        """
+        nodes = self.nodes()
+        if nodes >= self.most_nodes or now > self.most_nodes_at + self.window:
+            self.most_nodes = nodes
+            self.most_nodes_at = now
+        return self.most_nodes
+
     def take(self, service: str, now: float) -> bool:
         """Takes one second send from the budget, if there is one."""
         if self.left(service, now) < 1.0:
--- a/packages/dogwoodhinge/testing/gateway/test_second_sends.py
+++ b/packages/dogwoodhinge/testing/gateway/test_second_sends.py
@@ -11,9 +11,9 @@
 
 def make(*, extra: float = 0.0, nodes: int = 4) -> second_sends.SecondSends:
     """Returns a budget."""
-    found = second_sends.SecondSends(ratio=0.2, extra=extra, window=WINDOW)
-    found.nodes = nodes
-    return found
+    return second_sends.SecondSends(
+        ratio=0.2, extra=extra, window=WINDOW, nodes=lambda: nodes
+    )
 
 
 def spend(budget: second_sends.SecondSends, now: float) -> int:
@@ -36,6 +36,25 @@
     assert 0 < sum(spend(node, 0.0) for node in nodes) <= 54
 
 
+def test_many_nodes_keep_to_the_extra_from_their_start() -> None:
+    """Each of 83 nodes took the part of one of eight: BUDGET was broken."""
+    unknown = make(extra=206, nodes=0)
+    assert spend(unknown, 0.0) == 0
+    nodes = [make(extra=206, nodes=83) for _ in range(83)]
+    assert 0 < sum(spend(node, 0.0) for node in nodes) <= 206
+
+
+def test_cut_off_nodes_still_share_the_extra() -> None:
+    nodes = 8
+    budget = second_sends.SecondSends(
+        ratio=0.2, extra=100, window=WINDOW, nodes=lambda: nodes
+    )
+    before = budget.left("app", 0.0)
+    nodes = 2
+    assert budget.left("app", 9.0) == before
+    assert budget.left("app", 11.0) > before
+
+
 def test_spent_budget_returns_with_time() -> None:
     budget = make(extra=40)
     taken = spend(budget, 0.0)
