Load times are held at what several loads have shown lately

Cause: the estimate of a load fell with each load until a request was refused as too early. Loads that were thought to have ended also made room for a fifth one on an engine that takes four: it answered with a conflict.

Change: fleet.load_times, apart from placement. The estimate does not fall below what three loads have shown within 20 s, with no more loads beside them than now. An engine's state is read anew only when it is in doubt.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -115,7 +115,7 @@
             find=self._find,
             load=self._load,
             lead=lambda: (
-                self.placement.expected_load(True) + FIRST_EVENT_SECONDS
+                self.placement.load_times.seconds + FIRST_EVENT_SECONDS
             ),
             draw=random.Random(),
         )
@@ -208,7 +208,9 @@
             await asyncio.shield(self._start_load(seat, key))
         except loader_lib.OrderFailedError as error:
             self.placement.undo(seat.engine_id, key, loop.time())
-            self._read_soon(seat.engine_id)
+            line = self.loader.lines.get(seat.engine_id)
+            if line is not None and line.in_doubt:
+                self._read_soon(seat.engine_id)
             raise place_line_lib.NoRoomError(RETRY_SOON) from error
         place = self.placement.engines[seat.engine_id].places.get(key)
         ready_at = seat.ready_at if place is None else place.ready_at
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -16,6 +16,7 @@
 from typing import final
 
 from _dogwoodhinge.fleet import choice
+from _dogwoodhinge.fleet import load_times as load_times_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import places as places_lib
 from _dogwoodhinge.fleet import popularity as popularity_lib
@@ -23,24 +24,6 @@
 # The engines' own bound on adapters on their way to one of them.
 MAX_LOADING = 4
 
-# First guess of a load from the weight store; learnt from then on.
-FIRST_LOAD_SECONDS = 0.26
-
-# A load from an engine's host memory takes a tenth of one from the store.
-MEMORY_LOAD_FACTOR = 0.12
-
-# The estimate rises to what a request that came too early has shown. It falls
-# by this factor with each load, once so many loads in a row were not shown to
-# take longer: after a crowd has passed it is true again within some hundred
-# loads, and in calm times one request in thirty comes too early.
-LOAD_DECAY = 0.98
-LOADS_BEFORE_DECAY = 30
-MIN_LOAD_SECONDS = 0.1
-
-# One load shows no more than this factor: it may never have been carried out.
-# If loads really take longer, the next ones show the rest.
-MAX_RISE_FACTOR = 1.3
-
 # A load that takes this factor of what was expected, and the margin in seconds,
 # was not carried out, or has been undone since.
 LOST_LOAD_FACTOR = 2.0
@@ -71,8 +54,7 @@
         self.engines: dict[str, places_lib.EnginePlaces] = {}
         self.popularity = popularity_lib.Popularity()
         self.active: dict[str, dict[models.AdapterKey, int]] = {}
-        self.load_seconds = FIRST_LOAD_SECONDS
-        self.loads_since_early = 0
+        self.load_times = load_times_lib.LoadTimes()
         self.changes: collections.deque[places_lib.Change] = collections.deque(
             maxlen=MAX_CHANGES
         )
@@ -108,7 +90,7 @@
                 places_lib.Place(version, places_lib.State.RESIDENT, now, now),
             )
         for key, version in pending.items():
-            ready_at = now + self.load_seconds
+            ready_at = now + self.load_times.expected(now)
             self._set(
                 known,
                 key,
@@ -237,7 +219,12 @@
         if engine is None or place is None:
             return None
         place.ordered_at = at
-        place.expected = self.expected_load(place.from_store)
+        place.expected = self.load_times.expected(
+            at, from_store=place.from_store
+        )
+        if place.from_store:
+            place.others_on_way = self.load_times.on_way(at)
+            self.load_times.note_ordered(at)
         place.ready_at = at + place.expected
         engine.note_in_memory(key)
         self._note_change(engine_id, key, place.version, place.ready_at)
@@ -338,18 +325,12 @@
             return
         place.ready_at = now + TOO_EARLY_PAUSE_SECONDS
         if place.from_store:
-            shown = min(
-                elapsed + TOO_EARLY_PAUSE_SECONDS,
-                MAX_RISE_FACTOR * place.expected,
+            self.load_times.note_early(
+                place.ordered_at,
+                expected=place.expected,
+                on_way=place.others_on_way,
+                now=now,
             )
-            self.load_seconds = max(self.load_seconds, shown)
-            self.loads_since_early = 0
-
-    def expected_load(self, from_store: bool) -> float:
-        """Returns the expected seconds of a load."""
-        if from_store:
-            return self.load_seconds
-        return self.load_seconds * MEMORY_LOAD_FACTOR
 
     def changes_since(self, number: int) -> list[places_lib.Change] | None:
         """Returns later changes; None when some are no longer kept."""
@@ -481,12 +462,11 @@
             self._note_change(engine.engine_id, victim, None, now)
             del engine.places[victim]
         from_store = key not in engine.in_memory
-        ready_at = now + self.expected_load(from_store)
+        ready_at = now + self.load_times.expected(now, from_store=from_store)
         place = places_lib.Place(
             version, places_lib.State.LOADING, ready_at, now, from_store
         )
         self._set(engine, key, place)
-        self._decay_load_estimate()
         return places_lib.Seat(
             engine_id=engine.engine_id,
             version=version,
@@ -495,12 +475,6 @@
             new=True,
         )
 
-    def _decay_load_estimate(self) -> None:
-        self.loads_since_early += 1
-        if self.loads_since_early > LOADS_BEFORE_DECAY:
-            shorter = self.load_seconds * LOAD_DECAY
-            self.load_seconds = max(MIN_LOAD_SECONDS, shorter)
-
     def _room_after(
         self, usable: list[places_lib.Candidate], now: float
     ) -> datetime.timedelta:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
@@ -41,6 +41,7 @@
         expected: seconds that its load was expected to take then.
         used_at: loop time of the last known use; breaks ties.
         from_store: its load came from the weight store.
+        others_on_way: loads on their way when it was ordered.
     """
 
     version: int
@@ -50,6 +51,7 @@
     from_store: bool = False
     ordered_at: float = 0.0
     expected: float = 0.0
+    others_on_way: int = 0
 
     def is_loading(self, now: float) -> bool:
         """Tells whether the adapter is still on its way."""
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -5,6 +5,7 @@
 import pytest
 
 from _dogwoodhinge.fleet import engines
+from _dogwoodhinge.fleet import load_times
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import places as places_lib
@@ -122,7 +123,7 @@
     placement = make("e1")
     for number in (1, 2, 3):
         load(placement, number, "e1", 0.0)
-    ready = placement.load_seconds
+    ready = placement.load_times.seconds
     early = ready + placement_lib.PROTECTED_SECONDS / 2
     late = ready + placement_lib.PROTECTED_SECONDS * 2
     assert isinstance(
@@ -161,7 +162,7 @@
     )
     assert isinstance(seat, places_lib.Seat)
     assert seat.engine_id == "e1"
-    assert seat.ready_at < placement.load_seconds / 2
+    assert seat.ready_at < placement.load_times.seconds / 2
 
 
 def test_burst_of_rare_adapters_is_spread_before_any_report() -> None:
@@ -216,10 +217,10 @@
 def test_request_that_came_too_early_prolongs_the_estimate() -> None:
     placement = make("e1")
     load(placement, 1, "e1", 0.0)
-    before = placement.load_seconds
+    before = placement.load_times.seconds
     now = before + 0.01
     placement.note_absent("e1", key(1), now)
-    assert placement.load_seconds > before
+    assert placement.load_times.seconds > before
     place = placement.engines["e1"].places[key(1)]
     assert place.ready_at == pytest.approx(
         now + placement_lib.TOO_EARLY_PAUSE_SECONDS
@@ -245,20 +246,20 @@
         while place.ready_at < now + truth:
             placement.note_absent("e1", key(number), place.ready_at)
     limit = truth + 2 * placement_lib.TOO_EARLY_PAUSE_SECONDS
-    assert truth * 0.8 < placement.load_seconds <= limit
+    assert truth * 0.8 < placement.load_times.seconds <= limit
 
 
 def test_load_that_was_never_carried_out_barely_moves_the_estimate() -> None:
     """Regression: each of its requests raised the estimate of all loads."""
     placement = make("e1")
     load(placement, 1, "e1", 0.0)
-    before = placement.load_seconds
+    before = placement.load_times.seconds
     place = placement.engines["e1"].places[key(1)]
     for _ in range(100):
         placement.note_absent("e1", key(1), place.ready_at)
     assert place.state is places_lib.State.MISSED
-    limit = before * placement_lib.MAX_RISE_FACTOR
-    assert placement.load_seconds <= limit
+    limit = before * load_times.MAX_RISE_FACTOR
+    assert placement.load_times.seconds <= limit
 
 
 def test_adapter_found_absent_long_after_its_load_is_forgotten() -> None:
