An engine that is not the one meant is left; doubtful holders serve

Cause: a request for the base model that was answered 421 went to the same engine again, four times in ten milliseconds, and was refused; so was each later one. And while nobody gave orders, an adapter was refused though an engine that held it served: it had failed a moment before.

Change: without an adapter in play, 421 counts against the engine like a refused connection. Without an owner the holders that are being avoided are used too. The rule for a second send stands once, in Call.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/health.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/health.py
@@ -2,7 +2,8 @@
 
 Load patterns: an engine that fails part of its requests while its health page
 is good; one that accepts connections and stays silent; one that refuses
-connections for some seconds while it restarts.
+connections for some seconds while it restarts; an address that another engine
+has taken.
 
 Each failure adds to a penalty that halves with time, so an engine that failed
 is tried again by few real requests, and by more once these succeed.
@@ -34,6 +35,7 @@
     LOST_ANSWER = 0.7
     UNCONNECTED = 0.6
     UNREACHABLE = 2.0
+    ANOTHER = 2.0  # another one has its address, or it restarted empty
     SILENT = 3.0
 
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -6,6 +6,7 @@
 
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.gateway import requests
+from _dogwoodhinge.gateway import second_sends as second_sends_lib
 
 # The engine gets the time that is left and ends the request by itself; its
 # answer needs a moment to arrive before this node gives up in its place.
@@ -80,6 +81,22 @@
         """Engines that are of no use for this request any more."""
         return self.unreached.union(self.tried)
 
+    def may_send_again(
+        self, budget: second_sends_lib.SecondSends, *, same_engine: bool = False
+    ) -> bool:
+        """Takes a second send from the budget, if one is allowed.
+
+        Args:
+            budget: of second sends.
+            same_engine: it goes to an engine that the route has allowed.
+        """
+        now = asyncio.get_running_loop().time()
+        return (
+            (same_engine or self.may_try_another)
+            and self.time_left() > 0
+            and budget.take(self.service, now)
+        )
+
     def note_unreached(self, engine_id: str) -> None:
         """Notes that nothing could be sent to the engine tried last."""
         self.tried.pop()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -67,7 +67,7 @@
                 call.note(f"not_run {engine.engine_id}: {error}")
                 if error.unreachable:
                     call.note_unreached(engine.engine_id)
-                elif not self._may_send_again(call):
+                elif not call.may_send_again(self.budget):
                     raise errors.RefusedError(
                         "endpoint_refused",
                         retry_after=seats.RETRY_WITHOUT_ENGINE,
@@ -75,7 +75,9 @@
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
                 call.note(f"unknown {engine.engine_id}: {error}")
-                if not call.route.repeatable or not self._may_send_again(call):
+                if not call.route.repeatable or not call.may_send_again(
+                    self.budget
+                ):
                     raise
 
     def _choose(self, call: call_lib.Call) -> engines_lib.Engine | None:
@@ -84,14 +86,6 @@
         untried = [e for e in serving if e.engine_id not in call.to_avoid]
         return choice.choose(untried, zone=self.zone, now=now, draw=self.draw)
 
-    def _may_send_again(self, call: call_lib.Call) -> bool:
-        now = asyncio.get_running_loop().time()
-        return (
-            call.may_try_another
-            and call.time_left() > 0
-            and self.budget.take(call.service, now)
-        )
-
     async def _try(
         self,
         call: call_lib.Call,
@@ -169,7 +163,7 @@
             if (
                 call.route.repeatable
                 and not reply.begun
-                and self._may_send_again(call)
+                and call.may_send_again(self.budget)
             ):
                 call.note(f"error {engine.engine_id}: {head.status}")
                 return False
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -168,13 +168,16 @@
         version: int,
         avoid: Collection[str],
         now: float,
+        *,
+        doubtful: bool = False,
     ) -> list[tuple[engines_lib.Engine, engines_lib.Holding]]:
+        """Returns the holders; `doubtful` ones failed lately."""
         return [
             (engine, holding)
             for engine, holding in self.directory.holders(service, key)
             if holding.version >= version
             and engine.engine_id not in avoid
-            and not engine.health.to_be_avoided(now)
+            and (doubtful or not engine.health.to_be_avoided(now))
         ]
 
     def _crowded(
@@ -265,10 +268,16 @@
         key: models.AdapterKey,
         avoid: Collection[str],
     ) -> Found:
-        """Falls back on an older version while nobody gives orders."""
+        """Falls back on what is held while nobody gives orders.
+
+        An older version that is still allowed will do, and an engine that
+        failed lately: the score prefers the others.
+        """
         now = asyncio.get_running_loop().time()
         lowest = self.versions.lowest_allowed(key, now)
-        holders = self._usable_holders(service, key, lowest, avoid, now)
+        holders = self._usable_holders(
+            service, key, lowest, avoid, now, doubtful=True
+        )
         engine = choice.choose(
             [engine for engine, _ in holders],
             zone=self.zone,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -53,15 +53,22 @@
 
 
 def note_failure(
-    engine: engines_lib.Engine, error: errors.GatewayError, now: float
+    engine: engines_lib.Engine,
+    error: errors.GatewayError,
+    now: float,
+    *,
+    needs_adapter: bool = False,
 ) -> None:
     """Judges an engine by how a request to it failed.
 
-    Failed connects are judged where they are made; an engine that says that
-    it is not the one meant has not failed.
+    Failed connects are judged where they are made. An engine without the
+    adapter that a request needs has not failed.
     """
     if isinstance(error, errors.NotRunError):
-        if not error.unreachable and not error.misdirected:
+        if error.misdirected:
+            if not needs_adapter:
+                engine.health.note_failure(health_lib.Failure.ANOTHER, now)
+        elif not error.unreachable:
             engine.health.note_failure(health_lib.Failure.SHED, now)
     elif isinstance(error, SilentEngineError):
         engine.health.note_failure(health_lib.Failure.SILENT, now)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -78,11 +78,9 @@
                     continue
                 if error.misdirected:
                     misdirected += 1
-                    self._forget_holding(call, found.engine)
-                    absent_from = found.engine.engine_id
-                    call.tried.pop()
-                if misdirected > MAX_MISDIRECTED or not self._may_send_again(
-                    call, same_engine=error.misdirected
+                    absent_from = self._note_misdirected(call, found.engine)
+                if misdirected > MAX_MISDIRECTED or not call.may_send_again(
+                    self.budget, same_engine=error.misdirected
                 ):
                     raise errors.RefusedError(
                         "engine_refused",
@@ -91,8 +89,8 @@
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
                 call.note(f"broken {found.engine.engine_id}: {error}")
-                if not call.route.resumable or not self._may_send_again(
-                    call, same_engine=False
+                if not call.route.resumable or not call.may_send_again(
+                    self.budget
                 ):
                     raise
 
@@ -114,21 +112,18 @@
         call.adapter_version = found.version or 0
         return found
 
-    def _may_send_again(
-        self, call: call_lib.Call, *, same_engine: bool
-    ) -> bool:
-        now = asyncio.get_running_loop().time()
-        return (
-            (same_engine or call.may_try_another)
-            and call.time_left() > 0
-            and self.budget.take(call.service, now)
-        )
-
-    def _forget_holding(
+    def _note_misdirected(
         self, call: call_lib.Call, engine: engines_lib.Engine
-    ) -> None:
-        if call.request.adapter is not None:
-            engine.holdings.pop(call.request.adapter, None)
+    ) -> str:
+        """Returns the engine if it may only have lost the adapter."""
+        key = call.request.adapter
+        assert key is not None
+        if not key.adapter:
+            call.note_unreached(engine.engine_id)
+            return ""
+        call.tried.pop()
+        engine.holdings.pop(key, None)
+        return engine.engine_id
 
     async def _run(
         self, call: call_lib.Call, relay: "Relay", found: seats_lib.Found
@@ -170,7 +165,14 @@
             else:
                 engine.health.note_success(loop.time())
         except errors.GatewayError as error:
-            sender_lib.note_failure(engine, error, loop.time())
+            sender_lib.note_failure(
+                engine,
+                error,
+                loop.time(),
+                needs_adapter=bool(
+                    call.request.adapter and call.request.adapter.adapter
+                ),
+            )
             raise
         finally:
             engine.running -= 1
