A place is free only when its adapter has left the engine

Cause: a place was given away when its load was chosen, and the one that had to make way was forgotten. Beside it: an unload whose answer was lost counted as done, though it may wait for runs; and a load that failed after its asker had left kept its place, so requests went to an engine without the adapter.

Ruled out: a lost answer (no order to that engine failed after 16.2 s), a wrong capacity (residents 8 of 8 at 16.2 s).

Change: an order that fails before the unload puts the engine in doubt; a lost answer to an unload leaves the place taken until the report tells; the whole load goes on without its asker.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -158,7 +158,7 @@
             if not self.placement.is_reserved(seat, key):
                 raise OrderFailedError("the engine's state was read anew")
             if seat.evict is not None:
-                await self._unload(line, seat.evict)
+                await self._make_way(line, seat.evict)
             await self._send(line, key, seat.version, load=True)
             self.placement.complete(seat.engine_id, key, at=loop.time())
 
@@ -218,8 +218,18 @@
             )
             return reply is orders_lib.OrderReply.ACCEPTED
 
-    async def _unload(self, line: EngineLine, key: models.AdapterKey) -> None:
-        reply = await self._send(line, key, 0, load=False)
+    async def _make_way(self, line: EngineLine, key: models.AdapterKey) -> None:
+        """Unloads an adapter whose place was given away.
+
+        Raises:
+            OrderFailedError: its place is taken still.
+        """
+        try:
+            reply = await self._send(line, key, 0, load=False)
+        except OrderFailedError:
+            if not self.placement.has_place(line.entry.engine_id, key):
+                line.in_doubt = True
+            raise
         if reply is orders_lib.OrderReply.ACCEPTED:
             # It still runs there, so its place is not free yet.
             now = asyncio.get_running_loop().time()
@@ -259,7 +269,8 @@
             if self._was_carried_out(line, reply, attempt):
                 line.orders_accepted += 1
                 line.conflicts = 0
-                return orders_lib.OrderReply.DONE
+                # An unload may wait for runs; the lost answer told.
+                return orders_lib.OrderReply.ACCEPTED
             if self._concerns_adapter(line, reply, attempt):
                 self._hold_up(line, key)
                 break
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -121,7 +121,7 @@
         )
         self.refused = 0
         self.refused_logged_at = -math.inf
-        self.loads: set[asyncio.Task[None]] = set()
+        self.loads: set[asyncio.Task[places_lib.Seat]] = set()
         self.leading = False
 
     # Calls of peers
@@ -151,7 +151,7 @@
             return await self._wait(want)
         if found.new:
             self.line.note_given()
-            return await self._load(found, want)
+            return await asyncio.shield(self._start_load(found, want))
         return found
 
     def _find(
@@ -204,8 +204,7 @@
         loop = asyncio.get_running_loop()
         decided_at = loop.time()
         try:
-            # Shielded: the asker may leave, the places must stay right.
-            await asyncio.shield(self._start_load(seat, key))
+            await self.loader.load(seat, key)
         except loader_lib.OrderFailedError as error:
             self.placement.undo(seat.engine_id, key, loop.time())
             line = self.loader.lines.get(seat.engine_id)
@@ -229,14 +228,21 @@
         return dataclasses.replace(seat, ready_at=ready_at)
 
     def _start_load(
-        self, seat: places_lib.Seat, key: models.AdapterKey
-    ) -> asyncio.Task[None]:
-        # Not `add_future`: a failed order there would end the service.
-        task = asyncio.ensure_future(self.loader.load(seat, key))
+        self, seat: places_lib.Seat, want: places_lib.Want
+    ) -> asyncio.Task[places_lib.Seat]:
+        # The asker may leave; the places must stay right all the same. Not
+        # `add_future`: a failed order there would end the service.
+        task = asyncio.ensure_future(self._load(seat, want))
         self.loads.add(task)
-        task.add_done_callback(self.loads.discard)
+        task.add_done_callback(self._end_load)
         return task
 
+    def _end_load(self, task: asyncio.Task[places_lib.Seat]) -> None:
+        self.loads.discard(task)
+        if not task.cancelled():
+            # Told to the asker, if it is still there, and logged already.
+            task.exception()
+
     def take_use(self, use: Use) -> None:
         """Takes a node's report.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -195,6 +195,11 @@
                 return True
         return False
 
+    def has_place(self, engine_id: str, key: models.AdapterKey) -> bool:
+        """Tells whether an adapter takes a place on an engine."""
+        engine = self.engines.get(engine_id)
+        return engine is not None and key in engine.places
+
     def is_reserved(
         self, seat: places_lib.Seat, key: models.AdapterKey
     ) -> bool:
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -179,6 +179,41 @@
     assert bench.loader.lines["e1"].in_doubt
 
 
+async def test_victim_that_was_not_unloaded_keeps_its_place(
+    bench: Bench,
+) -> None:
+    """LIMIT was broken: its place was taken for free, and given away.
+
+    The right to order had ended between the choice and the order.
+    """
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    late = asyncio.get_running_loop().time() + 60.0
+    seat = bench.reserve(OTHER, late)
+    assert seat.evict == KEY
+    bench.may_order = False
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(seat, OTHER)
+    bench.placement.undo("e1", OTHER, late)
+    bench.may_order = True
+    assert bench.loader.lines["e1"].in_doubt
+
+
+async def test_unload_whose_answer_was_lost_frees_no_place(
+    bench: Bench,
+) -> None:
+    """It may have been accepted while runs go on, and the place be taken."""
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    bench.engine.in_use.add(KEY)
+    bench.engine.lose.append(True)
+    late = asyncio.get_running_loop().time() + 60.0
+    seat = bench.reserve(OTHER, late)
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(seat, OTHER)
+    bench.placement.undo("e1", OTHER, late)
+    assert bench.engine.residents == {KEY}
+    assert set(bench.placement.engines["e1"].places) == {KEY}
+
+
 async def test_no_order_without_the_right(bench: Bench) -> None:
     seat = bench.reserve(KEY, 0.0)
     bench.may_order = False
