The owner tells rows that matter; nodes read the store less

Cause: each change that matters to all nodes made each of them ask the store at once, and each read both tables every 6 s besides.

Ruled out: the feeds of the owner (it alone follows closely), the lease (two calls a second).

Change: an exchange with the owner carries the rows that the node lacks, up to 8 kB; a node that was told can tell others when it becomes the owner. Larger ones, changes that no row tells, and nodes behind the log are read as before. Weak hosts look at the lease less often where there are many.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -85,6 +85,11 @@
             return
         self._remove(engine_id, "withdrawn")
 
+    def end(self, engine_id: str) -> None:
+        """Ends an endpoint that another node has found to be gone."""
+        self.missing.pop(engine_id, None)
+        self._remove(engine_id, "told")
+
     def replace_all(self, entries: Iterable[models.EngineEntry]) -> None:
         """Takes the whole list."""
         listed = set()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -30,7 +30,8 @@
 NODES_AT_FULL_RATE = 40
 
 # Between two reads of the lease row while the owner is not reached. Each read
-# is a priced call to the platform, made only then.
+# is a priced call to the platform, made only then; hosts that take the lease
+# over last read less often where there are many.
 LOOK_EVERY = datetime.timedelta(milliseconds=500)
 
 # Failed exchanges after which the row is read.
@@ -155,9 +156,11 @@
         )
 
     def _pause(self) -> float:
-        if not self._is_led():
-            return LOOK_EVERY.total_seconds()
         scale = max(1.0, self.link.nodes / NODES_AT_FULL_RATE)
+        if not self._is_led():
+            if not self.lease.reluctance:
+                scale = 1.0
+            return LOOK_EVERY.total_seconds() * scale
         now = asyncio.get_running_loop().time()
         short = now - self.link.no_room_at < SHORT_FOR.total_seconds()
         pause = SYNC_WHEN_SHORT if short else SYNC_EVERY
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -170,19 +170,41 @@
             peers=self.owner.peers(MAX_PEERS_TOLD),
             lease_revision=max(0, self.owner.lease.revision),
             may_order=self.owner.lease.may_order(),
-            news=self._news(),
+            news=self._news({n.table: n.revision for n in request.known}),
         )
 
-    def _news(self) -> list[fleet_pb2.TableNews]:
+    def _news(self, known: dict[str, int]) -> list[fleet_pb2.TableNews]:
         now = asyncio.get_running_loop().time()
-        return [
-            fleet_pb2.TableNews(
-                table=table,
-                revision=news.revision,
-                age_ms=round((now - news.read_at) * 1000),
+        found = []
+        for table, news in self.news.own.items():
+            rows = None
+            if table in known:
+                rows = self.news.logs[table].since(known[table])
+            found.append(
+                fleet_pb2.TableNews(
+                    table=table,
+                    revision=news.revision,
+                    age_ms=round((now - news.read_at) * 1000),
+                    complete=rows is not None,
+                    rows=[_encode_row(row) for row in rows or ()],
+                )
             )
-            for table, news in self.news.own.items()
-        ]
+        return found
+
+
+def _encode_row(row: news_lib.Row) -> fleet_pb2.TableRow:
+    return fleet_pb2.TableRow(
+        key=row.key, value=row.value or b"", removed=row.value is None
+    )
+
+
+def _decode_rows(news: fleet_pb2.TableNews) -> list[news_lib.Row] | None:
+    if not news.complete:
+        return None
+    return [
+        news_lib.Row(row.key, None if row.removed else row.value, news.revision)
+        for row in news.rows
+    ]
 
 
 def _encode_change(change: places_lib.Change) -> fleet_pb2.PlaceChange:
@@ -290,6 +312,10 @@
         request.node = self.node
         request.token = self.known_token
         request.known_change = self.known_change
+        request.known.extend(
+            fleet_pb2.TableNews(table=table, revision=revision)
+            for table, revision in self.local.news.followed.items()
+        )
         if self._is_local():
             reply = self.local.sync(request)
         else:
@@ -315,7 +341,10 @@
         self.owner_may_order = reply.may_order
         for news in reply.news:
             self.local.news.note_told(
-                news.table, news.revision, now - news.age_ms / 1000
+                news.table,
+                news.revision,
+                now - news.age_ms / 1000,
+                _decode_rows(news),
             )
         self.peers = tuple(
             peer for peer in reply.peers if peer != self.own_address
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -212,6 +212,23 @@
     assert await node.link.place(places_lib.Want(key=KEY, version=0))
 
 
+async def test_failed_order_is_noted_when_its_asker_has_left(
+    node: Node, orders: fleet_fakes.FakeOrders
+) -> None:
+    """The place was held for a load that never came; requests went there."""
+    await knows_engine(node)
+    orders.lose.extend([False] * loader.SENDS)
+    asking = asyncio.create_task(
+        node.owner.place(places_lib.Want(key=KEY, version=0))
+    )
+    await asyncio.sleep(0)
+    asking.cancel()
+    await asyncio.gather(asking, return_exceptions=True)
+    await until(lambda: node.owner.loader.orders_failed >= loader.SENDS)
+    await until(lambda: not node.owner.loads)
+    assert KEY not in node.owner.placement.engines["e1"].places
+
+
 async def test_engine_without_a_base_model_gets_one(
     table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
 ) -> None:
@@ -240,6 +257,29 @@
     await other.stop()
 
 
+async def test_rows_that_the_owner_reads_are_told_to_the_others(
+    node: Node,
+    table: fleet_fakes.FakeLeaseTable,
+    orders: fleet_fakes.FakeOrders,
+) -> None:
+    """Each change cost a call to the platform by each of 83 nodes."""
+    other = make("n2", table, orders)
+    told: list[news.Row] = []
+    known = other.link.local.news
+    known.takers["op"] = told.extend
+    await until(node.lease.may_order)
+    now = asyncio.get_running_loop().time
+    node.link.local.news.note_own("op", 5, now(), rows=None)
+    known.note_own("op", 5, now(), rows=None)
+    await other.start()
+    rows = [news.Row("config", b"{}", 6), news.Row("gone", None, 6)]
+    node.link.local.news.note_own("op", 6, now(), rows=rows)
+    await until(lambda: told)
+    assert told == rows
+    assert known.covers("op", now())
+    await other.stop()
+
+
 async def test_another_node_takes_over_when_the_owner_dies(
     table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
 ) -> None:
