--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_actions.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_actions.py
@@ -140,7 +140,7 @@
         nodes = [
             node
             for node in self.world.fleet.running_nodes()
-            if not faults_world.is_stopped(node)
+            if not node.is_stopped
         ]
         expected = await self.operators.revision()
         await asyncio.gather(
--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_operators.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_operators.py
@@ -56,8 +56,13 @@
         self.marks = 0
 
     async def revision(self) -> int:
-        """Returns the revision of the customer's contract."""
+        """Returns the revision of the customer's contract.
+
+        A stopped node is not asked: it would answer when its cell is over.
+        """
         for node in self.fleet.running_nodes():
+            if node.is_stopped:
+                continue
             try:
                 found = await node.control.get(
                     f"{node.operator_url}/v1/contracts/{fleet_shape.CUSTOMER}"
--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_world.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/faults_world.py
@@ -19,7 +19,6 @@
 ENGINE = "engine-1"
 SERVICE = "yard"
 SETTLE_SECONDS = 40.0
-STOPPED_STATES = frozenset({"T", "t"})
 
 NO_FAULTS: dict[str, dict[str, Any]] = {
     "table": {
@@ -124,7 +123,7 @@
         return [
             node.caller_url
             for node in self.fleet.running_nodes()
-            if not is_stopped(node)
+            if not node.is_stopped
         ]
 
     async def wait_stopped(
@@ -137,7 +136,7 @@
         """
 
         async def first() -> fleet_members.FleetNode | None:
-            return next((node for node in nodes if is_stopped(node)), None)
+            return next((node for node in nodes if node.is_stopped), None)
 
         found: fleet_members.FleetNode = await fleet_clients.poll_until(
             first, what="a node stopped at the step", seconds=seconds
@@ -148,14 +147,14 @@
         """Lets every stopped node go on but the held ones, until cancelled."""
         while True:
             for node in self.fleet.running_nodes():
-                if node.host_id not in self.held and is_stopped(node):
+                if node.host_id not in self.held and node.is_stopped:
                     node.process.resume()
             await asyncio.sleep(0.05)
 
     async def session_gone(self, host_id: str) -> bool:
         """Tells whether another node sees no live session of a host."""
         for node in self.fleet.running_nodes():
-            if node.host_id == host_id or is_stopped(node):
+            if node.host_id == host_id or node.is_stopped:
                 continue
             with contextlib.suppress(aiohttp.ClientError, OSError):
                 status = await node.status()
@@ -164,13 +163,3 @@
                     for session in status["sessions"]
                 )
         return False
-
-
-def is_stopped(node: fleet_members.FleetNode) -> bool:
-    """Tells whether the node's process is stopped by a signal."""
-    path = pathlib.Path(f"/proc/{node.process.pid}/stat")
-    try:
-        state = path.read_text().rpartition(")")[2].split()[0]
-    except OSError:
-        return False
-    return state in STOPPED_STATES
--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_members.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_members.py
@@ -1,11 +1,13 @@
 """Nodes and stand-ins of a fleet, as tests drive them."""
 
+import pathlib
 from typing import Any, final
 
 from dogwoodhinge_lab import fleet_clients
 from dogwoodhinge_lab import fleet_process
 
 STATUS_NOT_DONE = 300
+STOPPED_STATES = frozenset({"T", "t"})
 
 
 @final
@@ -84,6 +86,16 @@
         )
         return found
 
+    @property
+    def is_stopped(self) -> bool:
+        """Tells whether the node's process is stopped by a signal."""
+        path = pathlib.Path(f"/proc/{self.process.pid}/stat")
+        try:
+            state = path.read_text().rpartition(")")[2].split()[0]
+        except OSError:
+            return False
+        return state in STOPPED_STATES
+
     async def owned_engines(self) -> set[str]:
         """Returns the engines that the node owns."""
         status = await self.status()
