--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -35,8 +35,8 @@
 
 # An adapter is loaded on a further engine when its holders are this full, and
 # another engine is emptier by so much: less would not pay for the load.
-CROWDED_LOAD = 0.8
-LOAD_DIFFERENCE_FOR_COPY = 0.6
+CROWDED_LOAD = 0.5
+LOAD_DIFFERENCE_FOR_COPY = 0.4
 
 
 @final
