The line reckons with what loads have shown

Cause: the line's time from a place to the first event came from the estimate alone, which falls in steady load since it is held apart. Requests that could not be on time any more were taken for such as could.

Test: test_line_reckons_with_what_loads_have_shown failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -114,9 +114,7 @@
         self.line = place_line_lib.PlaceLine(
             find=self._find,
             load=self._load,
-            lead=lambda: (
-                self.placement.load_times.seconds + FIRST_EVENT_SECONDS
-            ),
+            lead=self._lead,
             draw=random.Random(),
         )
         self.refused = 0
@@ -166,6 +164,10 @@
             now=now,
         )
 
+    def _lead(self, now: float) -> float:
+        """Returns the seconds from a place to the first event."""
+        return self.placement.load_times.expected(now) + FIRST_EVENT_SECONDS
+
     async def _wait(self, want: places_lib.Want) -> places_lib.Seat:
         try:
             return await self.line.wait(want)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/place_line.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/place_line.py
@@ -53,7 +53,7 @@
         *,
         find: Find,
         load: Load,
-        lead: Callable[[], float],
+        lead: Callable[[float], float],
         draw: random.Random,
     ) -> None:
         self.find = find
@@ -86,7 +86,7 @@
         waiter = waiting.Waiter(
             now + want.seconds_to_target, now + want.patience_seconds
         )
-        if self.line.is_hopeless(waiter, now, lead=self.lead()):
+        if self.line.is_hopeless(waiter, now, lead=self.lead(now)):
             raise self._turn_away(now)
         future: asyncio.Future[places_lib.Seat] = loop.create_future()
         self.line.join(waiter, now)
@@ -133,7 +133,7 @@
         far as they need a new one.
         """
         without_room: set[tuple[str, frozenset[str]]] = set()
-        for waiter in self.line.in_order(now, lead=self.lead()):
+        for waiter in self.line.in_order(now, lead=self.lead(now)):
             want, future = self.wishes[waiter]
             reach = (want.key.model, want.avoid)
             if reach in without_room:
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -11,6 +11,7 @@
 
 from _dogwoodhinge.fleet import engines
 from _dogwoodhinge.fleet import fleet_pb2
+from _dogwoodhinge.fleet import load_times
 from _dogwoodhinge.fleet import loader
 from _dogwoodhinge.fleet import membership
 from _dogwoodhinge.fleet import models
@@ -257,6 +258,18 @@
     await other.stop()
 
 
+async def test_line_reckons_with_what_loads_have_shown(node: Node) -> None:
+    """It took requests for on time that were not: its estimate had fallen."""
+    times = node.owner.placement.load_times
+    for number in range(load_times.SHOWN_BY):
+        times.note_early(
+            float(number), expected=0.3, on_way=0, now=number + 0.25
+        )
+    times.seconds = load_times.MIN_LOAD_SECONDS
+    assert node.owner.line.lead(3.0) > 0.25
+    assert node.owner.line.lead(60.0) < 0.25
+
+
 async def test_rows_that_the_owner_reads_are_told_to_the_others(
     node: Node,
     table: fleet_fakes.FakeLeaseTable,
--- a/packages/dogwoodhinge/testing/fleet/test_place_line.py
+++ b/packages/dogwoodhinge/testing/fleet/test_place_line.py
@@ -65,7 +65,7 @@
     return place_line.PlaceLine(
         find=places.find,
         load=places.load,
-        lead=lambda: 0.3,
+        lead=lambda now: 0.3,
         draw=random.Random(1),
     )
 
