A stream that broke off goes before all others in line

Cause: a stream whose engine paused for 1.1 s looked for another engine, but its patience was counted from its begin and had run out, so it was turned away at once while others waited, and broke off.

Ruled out: the engines (they ran on), the configuration and the SIGTERM beside it (streams without a pause went on).

Change: a stream that has begun has 0.9 s of patience from its break, and the most time left in the line's order.

Test: test_broken_stream_waits_for_a_place_before_all_others failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -36,6 +36,10 @@
 HURRY_SECONDS = 0.3
 HURRY_TOKENS = 2_800
 
+# A stream that broke off waits for a place so long, and goes before all that
+# have not begun: callers leave two seconds after the last event.
+RESUME_PATIENCE = datetime.timedelta(milliseconds=900)
+
 # Adapters that an engine turned out not to hold are looked for this often.
 MAX_MISDIRECTED = 3
 
@@ -66,7 +70,7 @@
         misdirected = 0
         absent_from = ""
         while True:
-            found = await self._find(call, absent_from)
+            found = await self._find(call, relay, absent_from)
             absent_from = ""
             try:
                 await self._run(call, relay, found)
@@ -95,18 +99,25 @@
                     raise
 
     async def _find(
-        self, call: call_lib.Call, absent_from: str
+        self, call: call_lib.Call, relay: "Relay", absent_from: str
     ) -> seats_lib.Found:
         assert call.request.adapter is not None
         time = call.deadline - call.received_at
+        target_at = call.target_at
+        wait_until = call.received_at + time * seats_lib.WAIT_FOR_PLACE
+        if relay.reply.begun:
+            target_at = call.deadline
+            now = asyncio.get_running_loop().time()
+            resume_until = now + RESUME_PATIENCE.total_seconds()
+            wait_until = min(call.deadline, max(wait_until, resume_until))
         found = await self.seats.find(
             call.service,
             call.request.adapter,
             avoid=call.to_avoid,
             absent_from=absent_from,
             prompt_tokens=call.request.prompt_tokens,
-            target_at=call.target_at,
-            wait_until=call.received_at + time * seats_lib.WAIT_FOR_PLACE,
+            target_at=target_at,
+            wait_until=wait_until,
         )
         call.found_by = found.found_by
         call.adapter_version = found.version or 0
