Sums of what nodes use are kept with each report, not made for each choice

Found by reading the change: for each absent adapter the owner added up the reports of all nodes, sorted all their judgements of each engine, and looked through all nodes for each adapter that might make way; for each exchange it added all reports up again.

Change: fleet.usage keeps the sums; placement counts the nodes that use an adapter. What is chosen is the same.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -40,6 +40,12 @@
             self.unread_tokens + other.unread_tokens,
         )
 
+    def __sub__(self, other: "Work") -> "Work":
+        return Work(
+            self.running - other.running,
+            self.unread_tokens - other.unread_tokens,
+        )
+
 
 @final
 class Engine:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -1,7 +1,7 @@
 """The node that gives the orders: answers peers and keeps engines in shape."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 import dataclasses
 import datetime
 import math
@@ -21,6 +21,7 @@
 from _dogwoodhinge.fleet import place_line as place_line_lib
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import places as places_lib
+from _dogwoodhinge.fleet import usage as usage_lib
 from dogwoodhinge import errors
 
 Report = Callable[[str, dict[str, object]], None]
@@ -50,34 +51,6 @@
 RETRY_SOON = datetime.timedelta(milliseconds=200)
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Use:
-    """What one node uses.
-
-    Attributes:
-        active: requests under way, by adapter.
-        begun: requests begun since the last report.
-        work: requests under way, by engine.
-        penalties: the node's judgement of engines.
-    """
-
-    node: str
-    active: Mapping[models.AdapterKey, int]
-    begun: Mapping[models.AdapterKey, int]
-    work: Mapping[str, engines_lib.Work]
-    penalties: Mapping[str, float]
-
-
-@final
-@dataclasses.dataclass(slots=True)
-class NodeUse:
-    """The last report of a node."""
-
-    use: Use
-    at: float
-
-
 class NotOwnerError(errors.DogwoodhingeError):
     """Another node gives the orders."""
 
@@ -109,7 +82,7 @@
             report=report,
         )
         self.base_models = base_models_lib.BaseModelLoads()
-        self.nodes: dict[str, NodeUse] = {}
+        self.usage = usage_lib.Usage()
         self.reading: dict[str, asyncio.Task[None]] = {}
         self.line = place_line_lib.PlaceLine(
             find=self._find,
@@ -245,7 +218,7 @@
             # Told to the asker, if it is still there, and logged already.
             task.exception()
 
-    def take_use(self, use: Use) -> None:
+    def take_use(self, use: usage_lib.Use) -> None:
         """Takes a node's report.
 
         Raises:
@@ -254,24 +227,14 @@
         if not self.lease.is_mine:
             raise NotOwnerError("this node does not hold the order lease")
         now = asyncio.get_running_loop().time()
-        self.nodes[use.node] = NodeUse(use, now)
+        self.usage.take(use, now)
         self.placement.note_active(use.node, use.active, use.begun, now)
 
-    def work(self) -> dict[str, engines_lib.Work]:
-        """Returns the requests of all nodes, by engine."""
-        total: dict[str, engines_lib.Work] = {}
-        for node in self.nodes.values():
-            for engine_id, work in node.use.work.items():
-                known = total.get(engine_id, engines_lib.Work())
-                total[engine_id] = known + work
-        return total
-
     def peers(self, most: int) -> list[str]:
         """Returns addresses of the nodes that reported last."""
         # Peers listen on the same port on all hosts.
         _, _, port = self.lease.address.rpartition(":")
-        latest = sorted(self.nodes.values(), key=lambda n: -n.at)
-        hosts = [n.use.node.rpartition("@")[2] for n in latest]
+        hosts = [name.rpartition("@")[2] for name in self.usage.latest()]
         return [f"{host}:{port}" for host in hosts[:most]]
 
     # Own work
@@ -298,15 +261,14 @@
         for engine_id in tuple(self.placement.engines):
             self.placement.drop_engine(engine_id, now)
         self.loader.lines.clear()
-        self.nodes.clear()
+        self.usage = usage_lib.Usage()
         self.report("placement_stopped", {"token": self.lease.token})
 
     def _forget_nodes(self) -> None:
         now = asyncio.get_running_loop().time()
-        for name, node in tuple(self.nodes.items()):
-            if now - node.at > NODE_SILENCE.total_seconds():
-                del self.nodes[name]
-                self.placement.drop_node(name)
+        for name in self.usage.silent_since(now - NODE_SILENCE.total_seconds()):
+            self.usage.forget(name)
+            self.placement.drop_node(name)
 
     def _follow_engines(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -400,7 +362,6 @@
                     self.base_models.note_ended(engine_id)
 
     def _candidates(self, model: str, now: float) -> list[places_lib.Candidate]:
-        work = self.work()
         found = []
         for engine in self._model_engines():
             engine_class = self._class_of(engine)
@@ -409,7 +370,11 @@
                 continue
             if not engine.holds_model(model):
                 continue
-            penalty = self._penalty(engine, now)
+            penalty = self.usage.penalty(
+                engine.engine_id,
+                own=engine.health.current(now),
+                own_node=self.lease.node,
+            )
             if penalty > health_lib.AVOID_ABOVE:
                 continue
             found.append(
@@ -417,23 +382,12 @@
                     engine.engine_id,
                     engine_class.adapter_places,
                     engine.entry.slots,
-                    work.get(engine.engine_id, engines_lib.Work()),
+                    self.usage.work.get(engine.engine_id, usage_lib.NOTHING),
                     penalty,
                 )
             )
         return found
 
-    def _penalty(self, engine: engines_lib.Engine, now: float) -> float:
-        """Returns the worst judgement that at least two nodes share."""
-        judged = [engine.health.current(now)]
-        judged += [
-            node.use.penalties.get(engine.engine_id, 0.0)
-            for node in self.nodes.values()
-            if node.use.node != self.lease.node
-        ]
-        judged.sort(reverse=True)
-        return judged[1] if len(judged) > 1 else judged[0]
-
     def _model_engines(self) -> list[engines_lib.Engine]:
         return [
             engine
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -21,6 +21,7 @@
 from _dogwoodhinge.fleet import owner as owner_lib
 from _dogwoodhinge.fleet import place_line
 from _dogwoodhinge.fleet import places as places_lib
+from _dogwoodhinge.fleet import usage as usage_lib
 
 # A call crosses one zone border, may wait for its turn, and then for two orders
 # to one engine.
@@ -121,7 +122,7 @@
 
     def sync(self, request: fleet_pb2.SyncRequest) -> fleet_pb2.SyncReply:
         """Takes a node's use and tells what has changed."""
-        use = owner_lib.Use(
+        use = usage_lib.Use(
             node=request.node,
             active={
                 models.AdapterKey(a.model, a.adapter): a.active
@@ -164,9 +165,9 @@
                     running=work.running,
                     unread_tokens=work.unread_tokens,
                 )
-                for engine_id, work in self.owner.work().items()
+                for engine_id, work in self.owner.usage.work.items()
             ],
-            nodes=len(self.owner.nodes),
+            nodes=len(self.owner.usage.reports),
             peers=self.owner.peers(MAX_PEERS_TOLD),
             lease_revision=max(0, self.owner.lease.revision),
             may_order=self.owner.lease.may_order(),
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -48,12 +48,20 @@
 
 @final
 class Placement:
-    """The places of all engines that this node gives orders to."""
+    """The places of all engines that this node gives orders to.
+
+    Attributes:
+        active: by node, the adapters that its requests use.
+        in_use: by adapter, the nodes that use it.
+    """
 
     def __init__(self) -> None:
         self.engines: dict[str, places_lib.EnginePlaces] = {}
         self.popularity = popularity_lib.Popularity()
-        self.active: dict[str, dict[models.AdapterKey, int]] = {}
+        self.active: dict[str, frozenset[models.AdapterKey]] = {}
+        self.in_use: collections.Counter[models.AdapterKey] = (
+            collections.Counter()
+        )
         self.load_times = load_times_lib.LoadTimes()
         self.changes: collections.deque[places_lib.Change] = collections.deque(
             maxlen=MAX_CHANGES
@@ -124,7 +132,9 @@
             uses: requests begun since its last report, by adapter.
             now: loop time.
         """
-        self.active[node] = dict(active)
+        self.drop_node(node)
+        self.active[node] = frozenset(active)
+        self.in_use.update(self.active[node])
         for key, count in uses.items():
             self.popularity.note_uses(key, count, now)
         for engine in self.engines.values():
@@ -133,7 +143,10 @@
 
     def drop_node(self, node: str) -> None:
         """Forgets a node that no longer reports."""
-        self.active.pop(node, None)
+        for key in self.active.pop(node, ()):
+            self.in_use[key] -= 1
+            if not self.in_use[key]:
+                del self.in_use[key]
 
     def find(
         self,
@@ -449,7 +462,7 @@
     ) -> bool:
         if place.state in places_lib.UNSETTLED:
             return False
-        if any(key in active for active in self.active.values()):
+        if key in self.in_use:
             return False
         return now - place.ready_at > PROTECTED_SECONDS
 
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -367,3 +367,13 @@
         for engine in placement.engines.values():
             assert len(engine.places) <= CAPACITY
             assert engine.loading(now) <= placement_lib.MAX_LOADING
+
+
+def test_adapter_is_in_use_until_its_last_node_says_otherwise() -> None:
+    placement = make("e1")
+    for node in ("a", "b"):
+        placement.note_active(node, {key(1): 2}, {}, 0.0)
+    placement.note_active("a", {}, {}, 1.0)
+    assert placement.in_use == {key(1): 1}
+    placement.drop_node("b")
+    assert not placement.in_use
