One order to an engine instead of three near-equal ones

The protocol, the adapter and the fake each had a load of an adapter, an unload and a load of a base model, which differed in two words, and the loader chose among them by a flag.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
@@ -95,39 +95,16 @@
         default_factory=list
     )
 
-    async def load_adapter(
+    async def send(
         self,
         entry: models.EngineEntry,
-        key: models.AdapterKey,
+        order: orders.Order,
         *,
-        version: int,
         orders_accepted: int,
         token: int,
     ) -> orders.OrderReply:
-        """Loads an adapter."""
-        return self._take("load", key, orders_accepted)
-
-    async def unload_adapter(
-        self,
-        entry: models.EngineEntry,
-        key: models.AdapterKey,
-        *,
-        orders_accepted: int,
-        token: int,
-    ) -> orders.OrderReply:
-        """Unloads an adapter."""
-        return self._take("unload", key, orders_accepted)
-
-    async def load_model(
-        self,
-        entry: models.EngineEntry,
-        model: str,
-        *,
-        orders_accepted: int,
-        token: int,
-    ) -> orders.OrderReply:
-        """Loads a base model."""
-        return self._take("model", models.AdapterKey(model, ""), 0)
+        """Carries an order out, or not."""
+        return self._take(order, orders_accepted)
 
     async def report(self, entry: models.EngineEntry) -> models.EngineReport:
         """Tells what is resident."""
@@ -145,29 +122,27 @@
             pending={},
         )
 
-    def _take(
-        self, operation: str, key: models.AdapterKey, count: int
-    ) -> orders.OrderReply:
-        self.sent.append((operation, key, count))
+    def _take(self, order: orders.Order, count: int) -> orders.OrderReply:
+        name = order.operation.value if order.key.adapter else "model"
+        self.sent.append((name, order.key, count))
         carried_out = True
         lost = bool(self.lose)
         if lost:
             carried_out = self.lose.popleft()
         reply = orders.OrderReply.CONFLICT
-        if carried_out and count == self.accepted and key not in self.held_up:
-            reply = self._carry_out(operation, key)
+        held_up = order.key in self.held_up
+        if carried_out and count == self.accepted and not held_up:
+            reply = self._carry_out(order)
         if lost:
             raise errors.EngineOutcomeUnknownError("no answer")
         return reply
 
-    def _carry_out(
-        self, operation: str, key: models.AdapterKey
-    ) -> orders.OrderReply:
+    def _carry_out(self, order: orders.Order) -> orders.OrderReply:
         self.accepted += 1
-        if operation == "load":
-            self.residents.add(key)
+        if order.operation is orders.Operation.LOAD:
+            self.residents.add(order.key)
             return orders.OrderReply.ACCEPTED
-        if key in self.in_use:
+        if order.key in self.in_use:
             return orders.OrderReply.ACCEPTED
-        self.residents.discard(key)
+        self.residents.discard(order.key)
         return orders.OrderReply.DONE
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -159,7 +159,10 @@
                 raise OrderFailedError("the engine's state was read anew")
             if seat.evict is not None:
                 await self._make_way(line, seat.evict)
-            await self._send(line, key, seat.version, load=True)
+            order = orders_lib.Order(
+                orders_lib.Operation.LOAD, key, seat.version
+            )
+            await self._send(line, order)
             self.placement.complete(seat.engine_id, key, at=loop.time())
 
     async def settle(self, engine_id: str) -> None:
@@ -194,11 +197,11 @@
                 return False
             self.orders_sent += 1
             try:
-                reply = await self.orders.load_model(
-                    line.entry,
-                    model,
-                    orders_accepted=line.orders_accepted,
-                    token=self.token(),
+                reply = await self._send_once(
+                    line,
+                    orders_lib.Order(
+                        orders_lib.Operation.LOAD, models.AdapterKey(model, "")
+                    ),
                 )
             except errors.EngineError as error:
                 line.in_doubt = True
@@ -225,7 +228,9 @@
             OrderFailedError: its place is taken still.
         """
         try:
-            reply = await self._send(line, key, 0, load=False)
+            reply = await self._send(
+                line, orders_lib.Order(orders_lib.Operation.UNLOAD, key)
+            )
         except OrderFailedError:
             if not self.placement.has_place(line.entry.engine_id, key):
                 line.in_doubt = True
@@ -237,12 +242,7 @@
             raise OrderFailedError(f"{key} is still in use")
 
     async def _send(
-        self,
-        line: EngineLine,
-        key: models.AdapterKey,
-        version: int,
-        *,
-        load: bool,
+        self, line: EngineLine, order: orders_lib.Order
     ) -> orders_lib.OrderReply:
         for attempt in range(SENDS):
             if not self.may_order():
@@ -250,12 +250,12 @@
             self.orders_sent += 1
             line.last_order_at = asyncio.get_running_loop().time()
             try:
-                reply = await self._send_once(line, key, version, load=load)
+                reply = await self._send_once(line, order)
             except errors.EngineOutcomeUnknownError as error:
-                self._note_failure(line, key, load, str(error), attempt)
+                self._note_failure(line, order, str(error), attempt)
                 continue
             except errors.EngineError as error:
-                self._note_failure(line, key, load, str(error), attempt)
+                self._note_failure(line, order, str(error), attempt)
                 line.in_doubt = True
                 break
             if reply in (
@@ -265,14 +265,14 @@
                 line.orders_accepted += 1
                 line.conflicts = 0
                 return reply
-            self._note_failure(line, key, load, reply.value, attempt)
+            self._note_failure(line, order, reply.value, attempt)
             if self._was_carried_out(line, reply, attempt):
                 line.orders_accepted += 1
                 line.conflicts = 0
                 # An unload may wait for runs; the lost answer told.
                 return orders_lib.OrderReply.ACCEPTED
             if self._concerns_adapter(line, reply, attempt):
-                self._hold_up(line, key)
+                self._hold_up(line, order.key)
                 break
             line.in_doubt = True
             break
@@ -317,24 +317,11 @@
         self.placement.note_held_up(line.entry.engine_id, key, now)
 
     async def _send_once(
-        self,
-        line: EngineLine,
-        key: models.AdapterKey,
-        version: int,
-        *,
-        load: bool,
+        self, line: EngineLine, order: orders_lib.Order
     ) -> orders_lib.OrderReply:
-        if load:
-            return await self.orders.load_adapter(
-                line.entry,
-                key,
-                version=version,
-                orders_accepted=line.orders_accepted,
-                token=self.token(),
-            )
-        return await self.orders.unload_adapter(
+        return await self.orders.send(
             line.entry,
-            key,
+            order,
             orders_accepted=line.orders_accepted,
             token=self.token(),
         )
@@ -342,8 +329,7 @@
     def _note_failure(
         self,
         line: EngineLine,
-        key: models.AdapterKey,
-        load: bool,
+        order: orders_lib.Order,
         reason: str,
         attempt: int,
     ) -> None:
@@ -352,8 +338,8 @@
             "order_failed",
             {
                 "engine": line.entry.engine_id,
-                "adapter": str(key),
-                "operation": "load" if load else "unload",
+                "adapter": str(order.key),
+                "operation": order.operation.value,
                 "orders_accepted": line.orders_accepted,
                 "reason": reason,
                 "attempt": attempt,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/orders.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/orders.py
@@ -1,7 +1,8 @@
 """The orders that engines take."""
 
+import dataclasses
 import enum
-from typing import Protocol
+from typing import Protocol, final
 
 from _dogwoodhinge.fleet import models
 
@@ -16,24 +17,44 @@
     GONE = "gone"  # another engine has the address
 
 
+class Operation(enum.Enum):
+    """What an order does."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """What an engine is told to do.
+
+    Attributes:
+        key: an adapter, or a base model alone.
+        version: of an adapter to load; 0 for the newest.
+    """
+
+    operation: Operation
+    key: models.AdapterKey
+    version: int = 0
+
+
 class EngineOrders(Protocol):
     """Sends orders to engines; none is sent more than once by itself."""
 
-    async def load_adapter(
+    async def send(
         self,
         entry: models.EngineEntry,
-        key: models.AdapterKey,
+        order: Order,
         *,
-        version: int,
         orders_accepted: int,
         token: int,
     ) -> OrderReply:
-        """Orders a load of an adapter; version 0 is the newest.
+        """Sends an order; an unload waits until the adapter's runs have ended.
 
         Args:
             entry: the engine.
-            key: the adapter.
-            version: 0 for the newest.
+            order: what to do.
             orders_accepted: the engine refuses when it has accepted another
                 number of orders since its start.
             token: the fencing token of the sender.
@@ -43,26 +64,6 @@
             EngineOutcomeUnknownError: it may be carried out, also later.
         """
 
-    async def unload_adapter(
-        self,
-        entry: models.EngineEntry,
-        key: models.AdapterKey,
-        *,
-        orders_accepted: int,
-        token: int,
-    ) -> OrderReply:
-        """Orders an adapter to be dropped once its runs have ended."""
-
-    async def load_model(
-        self,
-        entry: models.EngineEntry,
-        model: str,
-        *,
-        orders_accepted: int,
-        token: int,
-    ) -> OrderReply:
-        """Orders a load of a base model."""
-
     async def report(self, entry: models.EngineEntry) -> models.EngineReport:
         """Reads an engine's report.
 
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -110,27 +110,22 @@
     await bench.loader.read_state(ENTRY, capacity=1)
     bench.engine.lose.append(False)
     seat = bench.reserve(OTHER, 10.0)
-    original = bench.engine.load_adapter
+    original = bench.engine.send
 
     async def late_order_comes_between(
         entry: models.EngineEntry,
-        key: models.AdapterKey,
+        order: orders.Order,
         *,
-        version: int,
         orders_accepted: int,
         token: int,
     ) -> orders.OrderReply:
         if len(bench.engine.lose) == 0:
             bench.engine.accepted = max(1, bench.engine.accepted)
         return await original(
-            entry,
-            key,
-            version=version,
-            orders_accepted=orders_accepted,
-            token=token,
+            entry, order, orders_accepted=orders_accepted, token=token
         )
 
-    bench.engine.load_adapter = late_order_comes_between  # type: ignore
+    bench.engine.send = late_order_comes_between  # type: ignore
     with pytest.raises(loader_lib.OrderFailedError):
         await bench.loader.load(seat, OTHER)
     assert bench.loader.lines["e1"].in_doubt
