The server of peers and the link to the owner are two modules

owner_link held both sides of the exchange; what a node answers is now in fleet_server. How a connection to a peer is opened, and how a call over it fails, stood in lease_relay as well; it is one module, peer_channels. No line of logic changed.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
@@ -11,13 +11,10 @@
 import datetime
 from typing import final
 
-import grpclib
-from grpclib import client as grpc_client
-from grpclib import exceptions as grpc_exceptions
-
 from _dogwoodhinge.fleet import fleet_grpc
 from _dogwoodhinge.fleet import fleet_pb2
 from _dogwoodhinge.fleet import order_lease
+from _dogwoodhinge.fleet import peer_channels
 from dogwoodhinge import errors
 
 # After a failure the own connection to the store is tried again so late;
@@ -168,18 +165,12 @@
 
 
 async def _ask(peer: str, call: fleet_pb2.LeaseCall) -> fleet_pb2.LeaseAnswer:
-    host, _, port = peer.rpartition(":")
     # Calls come only during a cut, so no connection is kept.
-    channel = grpc_client.Channel(host, int(port))
+    channel = peer_channels.to(peer)
     try:
         async with asyncio.timeout(RELAY_TIMEOUT.total_seconds()):
             return await fleet_grpc.FleetStub(channel).RelayLease(call)
-    except (
-        OSError,
-        TimeoutError,
-        grpclib.GRPCError,
-        grpc_exceptions.StreamTerminatedError,
-    ) as error:
+    except peer_channels.CALL_ERRORS as error:
         raise _NoAnswerError(f"{peer}: {error or 'timed out'}") from error
     finally:
         channel.close()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -1,204 +1,36 @@
-"""An entry node's side of the exchange with the owner, and the peer server."""
+"""An entry node's side of the exchange with the owner."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
 import datetime
 import math
-from typing import TypeAlias, TypeVar, final
+from typing import TypeVar, final
 
-import grpclib
 from grpclib import client as grpc_client
-from grpclib import exceptions as grpc_exceptions
-from grpclib import server as grpc_server
 
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import fleet_grpc
 from _dogwoodhinge.fleet import fleet_pb2
-from _dogwoodhinge.fleet import lease_relay
+from _dogwoodhinge.fleet import fleet_server
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import news as news_lib
-from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import owner as owner_lib
+from _dogwoodhinge.fleet import peer_channels
 from _dogwoodhinge.fleet import place_line
 from _dogwoodhinge.fleet import places as places_lib
-from _dogwoodhinge.fleet import usage as usage_lib
 
 # A call crosses one zone border, may wait for its turn, and then for two orders
 # to one engine.
 PLACE_TIMEOUT = datetime.timedelta(milliseconds=900)
 SYNC_TIMEOUT = datetime.timedelta(milliseconds=400)
 
-
 Reply = TypeVar("Reply")
 
-PlaceStream: TypeAlias = grpc_server.Stream[
-    fleet_pb2.PlaceRequest, fleet_pb2.PlaceReply
-]
-SyncStream: TypeAlias = grpc_server.Stream[
-    fleet_pb2.SyncRequest, fleet_pb2.SyncReply
-]
-LeaseStream: TypeAlias = grpc_server.Stream[
-    fleet_pb2.LeaseCall, fleet_pb2.LeaseAnswer
-]
-
-# Peers that each node knows, for when it is cut off from the store.
-MAX_PEERS_TOLD = 5
-
 
 class OwnerUnreachableError(owner_lib.NotOwnerError):
     """The owner did not answer."""
 
 
-@final
-class FleetServer(fleet_grpc.FleetBase):
-    """Answers peers while this node is the owner."""
-
-    def __init__(
-        self,
-        owner: owner_lib.Owner,
-        lease_table: order_lease.LeaseTable,
-        news: news_lib.TableNews,
-    ) -> None:
-        self.owner = owner
-        self.lease_table = lease_table
-        self.news = news
-
-    async def Place(
-        self,
-        stream: PlaceStream,
-    ) -> None:
-        """Finds or loads an adapter."""
-        request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(await self.place(request))
-
-    async def Sync(
-        self,
-        stream: SyncStream,
-    ) -> None:
-        """Exchanges use and places."""
-        request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(self.sync(request))
-
-    async def RelayLease(
-        self,
-        stream: LeaseStream,
-    ) -> None:
-        """Reaches the lease's row for a peer."""
-        request = await stream.recv_message()
-        if request is not None:
-            answer = await lease_relay.answer(self.lease_table, request)
-            await stream.send_message(answer)
-
-    async def place(
-        self, request: fleet_pb2.PlaceRequest
-    ) -> fleet_pb2.PlaceReply:
-        """Answers one wish."""
-        want = places_lib.Want(
-            key=models.AdapterKey(request.model, request.adapter),
-            version=request.version,
-            avoid=frozenset(request.avoid),
-            absent_from=request.absent_from,
-            prompt_tokens=request.prompt_tokens,
-            seconds_to_target=request.target_in_ms / 1000,
-            patience_seconds=request.patience_ms / 1000,
-        )
-        try:
-            seat = await self.owner.place(want)
-        except owner_lib.NotOwnerError:
-            return fleet_pb2.PlaceReply(not_owner=True)
-        except place_line.NoRoomError as error:
-            retry_after = error.retry_after.total_seconds()
-            return fleet_pb2.PlaceReply(
-                retry_after_ms=int(retry_after * 1000), final=error.final
-            )
-        return fleet_pb2.PlaceReply(
-            engine_id=seat.engine_id,
-            version=seat.version,
-            ready_in_ms=_milliseconds_until(seat.ready_at),
-            places_short=self.owner.line.waits,
-        )
-
-    def sync(self, request: fleet_pb2.SyncRequest) -> fleet_pb2.SyncReply:
-        """Takes a node's use and tells what has changed."""
-        use = usage_lib.Use(
-            node=request.node,
-            active={
-                models.AdapterKey(a.model, a.adapter): a.active
-                for a in request.adapters
-                if a.active
-            },
-            begun={
-                models.AdapterKey(a.model, a.adapter): a.begun
-                for a in request.adapters
-                if a.begun
-            },
-            work={
-                e.engine_id: engines_lib.Work(e.running, e.unread_tokens)
-                for e in request.engines
-            },
-            penalties={
-                e.engine_id: e.penalty_percent / 100 for e in request.engines
-            },
-        )
-        try:
-            self.owner.take_use(use)
-        except owner_lib.NotOwnerError:
-            return fleet_pb2.SyncReply(not_owner=True)
-        placement = self.owner.placement
-        token = self.owner.lease.token
-        changes = None
-        if request.token == token:
-            changes = placement.changes_since(request.known_change)
-        complete = changes is None
-        if changes is None:
-            changes = placement.all_places()
-        return fleet_pb2.SyncReply(
-            token=token,
-            last_change=placement.last_change,
-            complete=complete,
-            changes=[_encode_change(change) for change in changes],
-            engines=[
-                fleet_pb2.EngineUse(
-                    engine_id=engine_id,
-                    running=work.running,
-                    unread_tokens=work.unread_tokens,
-                )
-                for engine_id, work in self.owner.usage.work.items()
-            ],
-            nodes=len(self.owner.usage.reports),
-            peers=self.owner.peers(MAX_PEERS_TOLD),
-            lease_revision=max(0, self.owner.lease.revision),
-            may_order=self.owner.lease.may_order(),
-            news=self._news({n.table: n.revision for n in request.known}),
-        )
-
-    def _news(self, known: dict[str, int]) -> list[fleet_pb2.TableNews]:
-        now = asyncio.get_running_loop().time()
-        found = []
-        for table, news in self.news.own.items():
-            rows = None
-            if table in known:
-                rows = self.news.logs[table].since(known[table])
-            found.append(
-                fleet_pb2.TableNews(
-                    table=table,
-                    revision=news.revision,
-                    age_ms=round((now - news.read_at) * 1000),
-                    complete=rows is not None,
-                    rows=[_encode_row(row) for row in rows or ()],
-                )
-            )
-        return found
-
-
-def _encode_row(row: news_lib.Row) -> fleet_pb2.TableRow:
-    return fleet_pb2.TableRow(
-        key=row.key, value=row.value or b"", removed=row.value is None
-    )
-
-
 def _decode_rows(news: fleet_pb2.TableNews) -> list[news_lib.Row] | None:
     if not news.complete:
         return None
@@ -208,21 +40,6 @@
     ]
 
 
-def _encode_change(change: places_lib.Change) -> fleet_pb2.PlaceChange:
-    return fleet_pb2.PlaceChange(
-        engine_id=change.engine_id,
-        model=change.key.model,
-        adapter=change.key.adapter,
-        gone=change.version is None,
-        version=change.version or 0,
-        ready_in_ms=_milliseconds_until(change.ready_at),
-    )
-
-
-def _milliseconds_until(at: float) -> int:
-    return max(0, round((at - asyncio.get_running_loop().time()) * 1000))
-
-
 @final
 class OwnerLink:
     """Calls the owner, here or on another node.
@@ -241,7 +58,7 @@
         *,
         node: str,
         own_address: str,
-        local: FleetServer,
+        local: fleet_server.FleetServer,
         directory: engines_lib.Directory,
         address: Callable[[], str],
     ) -> None:
@@ -393,12 +210,7 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 return await call(stub)
-        except (
-            OSError,
-            TimeoutError,
-            grpclib.GRPCError,
-            grpc_exceptions.StreamTerminatedError,
-        ) as error:
+        except peer_channels.CALL_ERRORS as error:
             # A silent connection shows only here; the next call opens anew.
             self._drop_channel()
             raise OwnerUnreachableError(
@@ -408,8 +220,7 @@
     def _channel_to(self, address: str) -> grpc_client.Channel:
         if self.channel is None or self.channel_address != address:
             self._drop_channel()
-            host, _, port = address.rpartition(":")
-            self.channel = grpc_client.Channel(host, int(port))
+            self.channel = peer_channels.to(address)
             self.channel_address = address
         return self.channel
 
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -11,6 +11,7 @@
 
 from _dogwoodhinge.fleet import engines
 from _dogwoodhinge.fleet import fleet_pb2
+from _dogwoodhinge.fleet import fleet_server
 from _dogwoodhinge.fleet import load_times
 from _dogwoodhinge.fleet import loader
 from _dogwoodhinge.fleet import membership
@@ -135,7 +136,7 @@
         report=report,
     )
     known = news.TableNews(is_owner=lambda: lease.is_mine)
-    local = owner_link.FleetServer(owner, table, known)
+    local = fleet_server.FleetServer(owner, table, known)
     link = owner_link.OwnerLink(
         node=f"{name}@127.0.0.1",
         own_address=address,
