Dead and doubled pieces of the change go

Dead since requests wait in line: the time that placement worked out for a refusal (NoRoom.retry_after), of which nobody asked any more. Never read: the counts of the line, of opened connections and of messages on one. Doubled: the type of a report callback stood in ten modules, it is event_log.Report; whether an adapter's place serves a version was asked in two ways, it is EnginePlaces.serving. Wrong place: each request for a held adapter looked at all engines before it asked whether its holder is crowded; the list of what loads have shown was copied for each look at its oldest.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/event_log.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/event_log.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import os
 from typing import Protocol, final
 
@@ -22,6 +23,10 @@
 MAX_LINES_PER_SECOND = 400
 
 
+# Takes an event and its fields, as `Events.write` does.
+Report = Callable[[str, dict[str, object]], None]
+
+
 class Events(Protocol):
     """Takes what happened."""
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
@@ -1,18 +1,16 @@
 """The configuration that is in force on this node."""
 
-from collections.abc import Callable
 from typing import final
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import models
 
-Report = Callable[[str, dict[str, object]], None]
-
 
 @final
 class AppliedConfiguration:
     """Applies newer versions only; a node never goes back to an older one."""
 
-    def __init__(self, *, report: Report) -> None:
+    def __init__(self, *, report: event_log.Report) -> None:
         self.report = report
         self.current: models.Configuration | None = None
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
@@ -11,6 +11,7 @@
 import datetime
 from typing import final
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import fleet_grpc
 from _dogwoodhinge.fleet import fleet_pb2
 from _dogwoodhinge.fleet import order_lease
@@ -26,7 +27,6 @@
 # Peers that are asked for one call.
 MAX_PEERS_ASKED = 2
 
-Report = Callable[[str, dict[str, object]], None]
 
 Outcome = fleet_pb2.LeaseAnswer.Outcome
 
@@ -86,7 +86,7 @@
         *,
         direct: order_lease.LeaseTable,
         peers: Callable[[], Sequence[str]],
-        report: Report,
+        report: event_log.Report,
     ) -> None:
         self.direct = direct
         self.peers = peers
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -10,6 +10,7 @@
 import datetime
 from typing import final
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import models
 
@@ -17,8 +18,6 @@
 # seconds of its return.
 RETURN_TIME = datetime.timedelta(seconds=2.2)
 
-Report = Callable[[str, dict[str, object]], None]
-
 
 @final
 class EndpointListing:
@@ -31,7 +30,7 @@
     """
 
     def __init__(
-        self, *, directory: engines_lib.Directory, report: Report
+        self, *, directory: engines_lib.Directory, report: event_log.Report
     ) -> None:
         self.directory = directory
         self.report = report
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/load_times.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/load_times.py
@@ -114,8 +114,9 @@
 
     def _least(self, now: float) -> float:
         """Returns what several loads have shown that were no more crowded."""
-        for ordered_at, shown in tuple(self.shown.items()):
-            recent = now - shown.at <= SHOWN_FOR_SECONDS
+        while self.shown:
+            ordered_at, oldest = next(iter(self.shown.items()))
+            recent = now - oldest.at <= SHOWN_FOR_SECONDS
             if recent and len(self.shown) <= MAX_SHOWN:
                 break
             del self.shown[ordered_at]
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -10,6 +10,7 @@
 import datetime
 from typing import final
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import orders as orders_lib
 from _dogwoodhinge.fleet import placement as placement_lib
@@ -29,8 +30,6 @@
 # other orders than known here.
 CONFLICTS_TO_DOUBT = 3
 
-Report = Callable[[str, dict[str, object]], None]
-
 
 def _residents(
     report: models.EngineReport,
@@ -85,7 +84,7 @@
         placement: placement_lib.Placement,
         may_order: Callable[[], bool],
         token: Callable[[], int],
-        report: Report,
+        report: event_log.Report,
     ) -> None:
         self.orders = orders
         self.placement = placement
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -1,12 +1,13 @@
 """Keeps this node in touch with the owner, or makes it the owner."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 import datetime
 from typing import final
 
 import mode
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge import supervision
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import fleet_pb2
@@ -100,7 +101,7 @@
         lease: order_lease_lib.OrderLease,
         link: owner_link_lib.OwnerLink,
         uses: UseCounter,
-        report: Callable[[str, dict[str, object]], None],
+        report: event_log.Report,
     ) -> None:
         super().__init__()
         self.lease = lease
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
@@ -14,7 +14,6 @@
 row back at once, with a higher token.
 """
 
-from collections.abc import Callable
 import dataclasses
 import datetime
 import time
@@ -22,6 +21,7 @@
 
 import pydantic
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge.membership import lease as lease_lib
 from dogwoodhinge import errors
 
@@ -95,9 +95,6 @@
         """
 
 
-Report = Callable[[str, dict[str, object]], None]
-
-
 @final
 class OrderLease:
     """This node's view of the row, and its right if it holds it.
@@ -119,7 +116,7 @@
         distance: datetime.timedelta,
         reluctance: datetime.timedelta = datetime.timedelta(0),
         clock: ElapsedClock,
-        report: Report,
+        report: event_log.Report,
     ) -> None:
         self.table = table
         self.node = node
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -10,6 +10,7 @@
 
 import mode
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge import supervision
 from _dogwoodhinge.fleet import base_models as base_models_lib
 from _dogwoodhinge.fleet import engines as engines_lib
@@ -24,8 +25,6 @@
 from _dogwoodhinge.fleet import usage as usage_lib
 from dogwoodhinge import errors
 
-Report = Callable[[str, dict[str, object]], None]
-
 # A node that reports nothing for so long has left or is cut off; its use of
 # adapters no longer protects them.
 NODE_SILENCE = datetime.timedelta(seconds=2.5)
@@ -66,7 +65,7 @@
         orders: orders_lib.EngineOrders,
         directory: engines_lib.Directory,
         configuration: Callable[[], models.Configuration | None],
-        report: Report,
+        report: event_log.Report,
     ) -> None:
         super().__init__()
         self.lease = lease
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/place_line.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/place_line.py
@@ -41,12 +41,7 @@
 
 @final
 class PlaceLine:
-    """The wishes that wait at the owner.
-
-    Attributes:
-        served: wishes that got a place after waiting.
-        turned_away: wishes that were refused.
-    """
+    """The wishes that wait at the owner."""
 
     def __init__(
         self,
@@ -67,8 +62,6 @@
         ] = {}
         self.serving: asyncio.Task[None] | None = None
         self.loads: set[asyncio.Task[None]] = set()
-        self.served = 0
-        self.turned_away = 0
 
     @property
     def waits(self) -> bool:
@@ -109,7 +102,6 @@
         self.line.note_given(asyncio.get_running_loop().time())
 
     def _turn_away(self, now: float, *, final: bool = True) -> NoRoomError:
-        self.turned_away += final
         seconds = self.line.retry_seconds(now, self.draw.random())
         return NoRoomError(datetime.timedelta(seconds=seconds), final=final)
 
@@ -142,7 +134,6 @@
             if isinstance(found, places_lib.NoRoom):
                 without_room.add(reach)
                 continue
-            self.served += 1
             self._forget(waiter)
             if found.new:
                 self.line.note_given(now)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -12,7 +12,6 @@
 
 import collections
 from collections.abc import Collection, Iterable, Mapping
-import datetime
 from typing import final
 
 from _dogwoodhinge.fleet import choice
@@ -184,7 +183,7 @@
             if offer is not None and (best is None or offer[0] < best[0]):
                 best = offer
         if best is None:
-            return places_lib.NoRoom(self._room_after(usable, now))
+            return places_lib.NoRoom()
         _, candidate, victim = best
         self._give(candidate.engine_id, prompt_tokens, now)
         return self._reserve(key, version, candidate, victim, now)
@@ -197,16 +196,11 @@
         avoid: Collection[str],
     ) -> bool:
         """Tells whether an engine has an adapter, or soon will."""
-        for engine_id, engine in self.engines.items():
-            place = engine.places.get(key)
-            if (
-                place is not None
-                and place.version >= version
-                and place.state not in places_lib.UNSETTLED
-                and engine_id not in avoid
-            ):
-                return True
-        return False
+        return any(
+            engine.serving(key, version) is not None
+            for engine_id, engine in self.engines.items()
+            if engine_id not in avoid
+        )
 
     def has_place(self, engine_id: str, key: models.AdapterKey) -> bool:
         """Tells whether an adapter takes a place on an engine."""
@@ -381,12 +375,8 @@
         best: tuple[float, places_lib.Seat] | None = None
         for candidate in usable:
             engine = self.engines.get(candidate.engine_id)
-            place = None if engine is None else engine.places.get(key)
-            if (
-                place is None
-                or place.version < version
-                or place.state in places_lib.UNSETTLED
-            ):
+            place = None if engine is None else engine.serving(key, version)
+            if place is None:
                 continue
             seat = places_lib.Seat(
                 engine_id=candidate.engine_id,
@@ -493,18 +483,6 @@
             new=True,
         )
 
-    def _room_after(
-        self, usable: list[places_lib.Candidate], now: float
-    ) -> datetime.timedelta:
-        ends = [
-            place.ready_at + PROTECTED_SECONDS - now
-            for candidate in usable
-            if candidate.engine_id in self.engines
-            for place in self.engines[candidate.engine_id].places.values()
-        ]
-        wait = min((end for end in ends if end > 0), default=1.0)
-        return datetime.timedelta(seconds=max(0.1, wait))
-
     def _set(
         self,
         engine: places_lib.EnginePlaces,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import datetime
 import enum
 from typing import final
 
@@ -83,6 +82,13 @@
         """Returns how many adapters are on their way."""
         return sum(place.is_loading(now) for place in self.places.values())
 
+    def serving(self, key: models.AdapterKey, version: int) -> Place | None:
+        """Returns an adapter's place if requests for a version may go there."""
+        place = self.places.get(key)
+        if place is None or place.version < version or place.state in UNSETTLED:
+            return None
+        return place
+
     def note_in_memory(self, key: models.AdapterKey) -> None:
         """Notes that the engine had an adapter's weights."""
         self.in_memory[key] = None
@@ -153,13 +159,7 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoRoom:
-    """No engine can take the adapter now.
-
-    Attributes:
-        retry_after: when a place may be had.
-    """
-
-    retry_after: datetime.timedelta
+    """No engine can take the adapter now."""
 
 
 @final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -186,13 +186,15 @@
         holders: list[tuple[engines_lib.Engine, engines_lib.Holding]],
     ) -> frozenset[str]:
         """Returns the holders, if a load elsewhere is faster than they are."""
-        emptiest = min(choice.load(e.work, e.entry.slots) for e in engines)
         loads = {
             engine.engine_id: choice.load(engine.work, engine.entry.slots)
             for engine, _ in holders
         }
         least = min(loads.values())
-        if least < CROWDED_LOAD or least - emptiest < LOAD_DIFFERENCE_FOR_COPY:
+        if least < CROWDED_LOAD:
+            return frozenset()
+        emptiest = min(choice.load(e.work, e.entry.slots) for e in engines)
+        if least - emptiest < LOAD_DIFFERENCE_FOR_COPY:
             return frozenset()
         return frozenset(loads)
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -41,7 +41,6 @@
             aborted here.
         reset: the connection ended by a reset rather than by a close.
         idle_since: loop time of the last use, for pools.
-        uses: messages that were exchanged completely.
     """
 
     def __init__(
@@ -58,7 +57,6 @@
         self.reset = False
         self.eof = False
         self.idle_since = 0.0
-        self.uses = 0
         self.unparsed = 0
         self._eof_fed = False
         self._readable = asyncio.Event()
@@ -168,7 +166,6 @@
         if self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
-        self.uses += 1
         self.unparsed = 0
         return True
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -36,14 +36,12 @@
 
     Attributes:
         limit: connections that may be open at once.
-        opened: connections opened so far.
     """
 
     def __init__(self, *, host: str, port: int, limit: int) -> None:
         self.host = host
         self.port = port
         self.limit = limit
-        self.opened = 0
         self.in_use: set[connection_lib.Connection] = set()
         self.idle: collections.deque[connection_lib.Connection] = (
             collections.deque()
@@ -154,5 +152,4 @@
                 f"no connection to {self.host}:{self.port}: "
                 f"{error or 'timed out'}"
             ) from error
-        self.opened += 1
         return opened
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import errors
 
@@ -77,7 +78,6 @@
     Attributes:
         begun: the head has been sent.
         finished: the whole answer has been sent.
-        last_write_at: loop time of the last write.
     """
 
     def __init__(
@@ -139,8 +139,6 @@
         raise errors.ProtocolError("both a length and chunks")
 
 
-Report = Callable[[str, dict[str, object]], None]
-
 Handler = Callable[[RawRequest, Reply], Awaitable[None]]
 
 
@@ -160,7 +158,7 @@
         *,
         handler: Handler,
         limits: Callable[[], Limits],
-        report: Report,
+        report: event_log.Report,
     ) -> None:
         self.handler = handler
         self.limits = limits
--- a/packages/dogwoodhinge/src/_dogwoodhinge/supervision.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/supervision.py
@@ -5,18 +5,18 @@
 
 import mode
 
+from _dogwoodhinge import event_log
+
 # After an unexpected error: long enough not to flood the log, short enough to
 # matter little to callers.
 PAUSE_AFTER_ERROR_SECONDS = 0.3
 
-Report = Callable[[str, dict[str, object]], None]
-
 
 async def repeat(
     service: mode.Service,
     step: Callable[[], Awaitable[float]],
     *,
-    report: Report,
+    report: event_log.Report,
 ) -> None:
     """Repeats a step until the service stops.
 
--- a/packages/dogwoodhinge/testing/fleet/test_place_line.py
+++ b/packages/dogwoodhinge/testing/fleet/test_place_line.py
@@ -38,7 +38,7 @@
         """Takes a free place."""
         self.finds += 1
         if not self.free:
-            return places_lib.NoRoom(place_line.LONGEST_WAIT)
+            return places_lib.NoRoom()
         self.free -= 1
         return places_lib.Seat(
             engine_id="e1", version=0, ready_at=now, new=True
