--- a/packages/dogwoodhinge-lab/testing/test_replay.py
+++ b/packages/dogwoodhinge-lab/testing/test_replay.py
@@ -3,13 +3,15 @@
 import pytest
 
 from dogwoodhinge_lab import replay
+from dogwoodhinge_lab import replay_patterns
+from dogwoodhinge_lab import replay_ways
 
 
 @pytest.mark.parametrize(
-    "pattern", replay.PATTERNS, ids=lambda pattern: pattern.name
+    "pattern", replay_patterns.PATTERNS, ids=lambda pattern: pattern.name
 )
-def test_first_events_are_on_time(pattern: replay.Pattern) -> None:
-    ours = replay.mean_share(pattern, replay.OURS)
+def test_first_events_are_on_time(pattern: replay_patterns.Pattern) -> None:
+    ours = replay.mean_share(pattern, replay_ways.OURS)
     assert ours >= pattern.target
     for way in pattern.behind:
         assert ours > replay.mean_share(pattern, way), way
