The sum of an idle engine's work may be gone when a node is forgotten

A node also reports engines that it judges and uses nothing of. The sum of such an engine is nothing, so the first node that was forgotten took it along; forgetting the next one failed with KeyError. The exchange of that node failed, the node held the owner for lost, and what else it had reported stayed in the sums.

Ruled out: the network (the peer answered), load (a test without load shows it).

Test: test_engine_without_work_is_forgotten_by_both_nodes, and the seeded test of the sums now draws idle engines; all failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/usage.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/usage.py
@@ -75,7 +75,8 @@
         if report is None:
             return
         for engine_id, work in report.use.work.items():
-            left = self.work.pop(engine_id) - work
+            # Reports of idle engines add nothing, so their sum may be gone.
+            left = self.work.pop(engine_id, NOTHING) - work
             if left != NOTHING:
                 self.work[engine_id] = left
         for engine_id, penalty in report.use.penalties.items():
--- a/packages/dogwoodhinge/testing/fleet/test_usage.py
+++ b/packages/dogwoodhinge/testing/fleet/test_usage.py
@@ -12,6 +12,11 @@
 NODES = [f"n{number}" for number in range(5)]
 
 
+def some_work(draw: random.Random) -> engines.Work:
+    """Returns what may run on an engine."""
+    return engines.Work(draw.randrange(3), draw.randrange(500))
+
+
 def random_use(node: str, draw: random.Random) -> usage.Use:
     """Returns a report on some engines."""
     return usage.Use(
@@ -19,7 +24,7 @@
         active={},
         begun={},
         work={
-            engine: engines.Work(draw.randrange(3), draw.randrange(500))
+            engine: draw.choice((usage.NOTHING, some_work(draw)))
             for engine in draw.sample(ENGINES, 2)
         },
         penalties={
@@ -73,3 +78,24 @@
         found.take(random_use(node, draw), float(at))
     assert found.silent_since(2.0) == ["n0", "n1"]
     assert found.latest() == ["n4", "n3", "n2", "n1", "n0"]
+
+
+def test_engine_without_work_is_forgotten_by_both_nodes() -> None:
+    # Two nodes hold something against an idle engine. The first one to be
+    # forgotten took the engine's sum along, and the other's exchange failed.
+    found = usage.Usage()
+    for node in NODES[:2]:
+        found.take(
+            usage.Use(
+                node=node,
+                active={},
+                begun={},
+                work={"e0": usage.NOTHING},
+                penalties={"e0": 1.0},
+            ),
+            0.0,
+        )
+    found.forget("n0")
+    found.forget("n1")
+    assert not found.work
+    assert not found.penalties
