Second sends that other nodes leave are granted by the owner

Change: nodes spend 0.5 of the ratio and of the extra without asking; 0.3 is granted by the owner, which knows all requests by the reports it gets. A new owner counts only what was reported to it, and gives nothing of the extra for a window.

Tests of the own part became asynchronous, assertions unchanged.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_grpc.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_grpc.py
@@ -22,6 +22,10 @@
     async def Sync(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.SyncRequest, _dogwoodhinge.fleet.fleet_pb2.SyncReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TakeSecondSend(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.SecondSendRequest, _dogwoodhinge.fleet.fleet_pb2.SecondSendReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def RelayLease(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.LeaseCall, _dogwoodhinge.fleet.fleet_pb2.LeaseAnswer]') -> None:
         pass
@@ -40,6 +44,12 @@
                 _dogwoodhinge.fleet.fleet_pb2.SyncRequest,
                 _dogwoodhinge.fleet.fleet_pb2.SyncReply,
             ),
+            '/dogwoodhinge.fleet.Fleet/TakeSecondSend': grpclib.const.Handler(
+                self.TakeSecondSend,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                _dogwoodhinge.fleet.fleet_pb2.SecondSendRequest,
+                _dogwoodhinge.fleet.fleet_pb2.SecondSendReply,
+            ),
             '/dogwoodhinge.fleet.Fleet/RelayLease': grpclib.const.Handler(
                 self.RelayLease,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -64,6 +74,12 @@
             _dogwoodhinge.fleet.fleet_pb2.SyncRequest,
             _dogwoodhinge.fleet.fleet_pb2.SyncReply,
         )
+        self.TakeSecondSend = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/dogwoodhinge.fleet.Fleet/TakeSecondSend',
+            _dogwoodhinge.fleet.fleet_pb2.SecondSendRequest,
+            _dogwoodhinge.fleet.fleet_pb2.SecondSendReply,
+        )
         self.RelayLease = grpclib.client.UnaryUnaryMethod(
             channel,
             '/dogwoodhinge.fleet.Fleet/RelayLease',
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -23,6 +23,9 @@
 SyncStream: TypeAlias = grpc_server.Stream[
     fleet_pb2.SyncRequest, fleet_pb2.SyncReply
 ]
+SecondSendStream: TypeAlias = grpc_server.Stream[
+    fleet_pb2.SecondSendRequest, fleet_pb2.SecondSendReply
+]
 LeaseStream: TypeAlias = grpc_server.Stream[
     fleet_pb2.LeaseCall, fleet_pb2.LeaseAnswer
 ]
@@ -63,6 +66,15 @@
         if request is not None:
             await stream.send_message(self.sync(request))
 
+    async def TakeSecondSend(
+        self,
+        stream: SecondSendStream,
+    ) -> None:
+        """Grants a second send."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self.take_second_send(request))
+
     async def RelayLease(
         self,
         stream: LeaseStream,
@@ -102,6 +114,16 @@
             places_short=self.owner.line.waits,
         )
 
+    def take_second_send(
+        self, request: fleet_pb2.SecondSendRequest
+    ) -> fleet_pb2.SecondSendReply:
+        """Grants one second send, or none."""
+        try:
+            granted = self.owner.take_second_send(request.service)
+        except owner_lib.NotOwnerError:
+            return fleet_pb2.SecondSendReply(not_owner=True)
+        return fleet_pb2.SecondSendReply(granted=granted)
+
     def sync(self, request: fleet_pb2.SyncRequest) -> fleet_pb2.SyncReply:
         """Takes a node's use and tells what has changed."""
         use = usage_lib.Use(
@@ -123,6 +145,7 @@
             penalties={
                 e.engine_id: e.penalty_percent / 100 for e in request.engines
             },
+            requests={s.service: s.begun for s in request.services},
         )
         try:
             self.owner.take_use(use)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -51,16 +51,20 @@
         *,
         active: Mapping[models.AdapterKey, int],
         begun: dict[models.AdapterKey, int],
+        requests: dict[str, int],
         directory: engines_lib.Directory,
     ) -> None:
         self.active = active
         self.begun = begun
+        self.requests = requests
         self.directory = directory
 
     def take(self, now: float) -> fleet_pb2.SyncRequest:
         """Returns a report and starts to count anew."""
         begun = dict(self.begun)
         self.begun.clear()
+        requests = dict(self.requests)
+        self.requests.clear()
         return fleet_pb2.SyncRequest(
             adapters=[
                 fleet_pb2.AdapterUse(
@@ -81,6 +85,10 @@
                 for engine in self.directory.engines.values()
                 if engine.running or engine.health.current(now) > 0.05
             ],
+            services=[
+                fleet_pb2.ServiceUse(service=service, begun=count)
+                for service, count in requests.items()
+            ],
         )
 
     def give_back(self, request: fleet_pb2.SyncRequest) -> None:
@@ -89,6 +97,9 @@
             if use.begun:
                 key = models.AdapterKey(use.model, use.adapter)
                 self.begun[key] = self.begun.get(key, 0) + use.begun
+        for service in request.services:
+            count = self.requests.get(service.service, 0) + service.begun
+            self.requests[service.service] = count
 
 
 @final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -23,6 +23,7 @@
 from _dogwoodhinge.fleet import place_line as place_line_lib
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import places as places_lib
+from _dogwoodhinge.fleet import shared_sends as shared_sends_lib
 from _dogwoodhinge.fleet import usage as usage_lib
 from dogwoodhinge import errors
 
@@ -66,11 +67,13 @@
         orders: orders_lib.EngineOrders,
         directory: engines_lib.Directory,
         configuration: Callable[[], models.Configuration | None],
+        shared_sends: shared_sends_lib.SharedSends,
         report: event_log.Report,
     ) -> None:
         super().__init__()
         self.lease = lease
         self.directory = directory
+        self.shared_sends = shared_sends
         self.configuration = configuration
         self.report = report
         self.placement = placement_lib.Placement()
@@ -230,8 +233,21 @@
             raise NotOwnerError("this node does not hold the order lease")
         now = asyncio.get_running_loop().time()
         self.usage.take(use, now)
+        for service, count in use.requests.items():
+            self.shared_sends.note_requests(service, count, now)
         self.placement.note_active(use.node, use.active, use.begun, now)
 
+    def take_second_send(self, service: str) -> bool:
+        """Takes a second send from the shared part of the budget.
+
+        Raises:
+            NotOwnerError: this node gives no orders.
+        """
+        if not self.lease.is_mine or not self.leading:
+            raise NotOwnerError("this node does not hold the order lease")
+        now = asyncio.get_running_loop().time()
+        return self.shared_sends.take(service, now)
+
     def peers(self, most: int) -> list[str]:
         """Returns addresses of the nodes that reported last."""
         # Peers listen on the same port on all hosts.
@@ -249,6 +265,7 @@
         if self.lease.is_mine:
             if not self.leading:
                 self.leading = True
+                self.shared_sends.restart(asyncio.get_running_loop().time())
                 self.report("placement_started", {"token": self.lease.token})
             self._forget_nodes()
             self._follow_engines()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -8,6 +8,7 @@
 
 from grpclib import client as grpc_client
 
+from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import fleet_grpc
 from _dogwoodhinge.fleet import fleet_pb2
@@ -24,6 +25,10 @@
 PLACE_TIMEOUT = datetime.timedelta(milliseconds=900)
 SYNC_TIMEOUT = datetime.timedelta(milliseconds=400)
 
+# After a refusal by the owner, or none of its answers, second sends are not
+# asked for: as long as an exchange takes to bring new ones.
+ASK_PAUSE = datetime.timedelta(milliseconds=250)
+
 Reply = TypeVar("Reply")
 
 
@@ -51,6 +56,8 @@
         lease_revision: of the order lease's row, as the owner told it.
         owner_may_order: the owner's right counted at the last exchange.
         no_room_at: loop time at which places were last known to be short.
+        second_sends_from: by service, loop time from which second sends may be
+            asked for.
     """
 
     def __init__(
@@ -61,7 +68,9 @@
         local: fleet_server.FleetServer,
         directory: engines_lib.Directory,
         address: Callable[[], str],
+        report: event_log.Report,
     ) -> None:
+        self.report = report
         self.node = node
         self.own_address = own_address
         self.local = local
@@ -76,6 +85,7 @@
         self.lease_revision = 0
         self.owner_may_order = True
         self.no_room_at = -math.inf
+        self.second_sends_from: dict[str, float] = {}
 
     async def place(
         self,
@@ -120,6 +130,29 @@
             ready_at=now + reply.ready_in_ms / 1000,
         )
 
+    async def take_second_send(self, service: str) -> bool:
+        """Asks for a second send beyond this node's own part.
+
+        An owner that can't be reached grants none.
+        """
+        now = asyncio.get_running_loop().time()
+        if now < self.second_sends_from.get(service, -math.inf):
+            return False
+        request = fleet_pb2.SecondSendRequest(service=service)
+        try:
+            if self._is_local():
+                reply = self.local.take_second_send(request)
+            else:
+                reply = await self._call(
+                    lambda stub: stub.TakeSecondSend(request), SYNC_TIMEOUT
+                )
+        except owner_lib.NotOwnerError as error:
+            reply = fleet_pb2.SecondSendReply(not_owner=True)
+            self.report("second_send_unasked", {"reason": str(error)})
+        if not reply.granted:
+            self.second_sends_from[service] = now + ASK_PAUSE.total_seconds()
+        return reply.granted
+
     async def sync(self, request: fleet_pb2.SyncRequest) -> None:
         """Reports use and takes over what has changed.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/usage.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/usage.py
@@ -25,6 +25,7 @@
         begun: requests begun since the last report.
         work: requests under way, by engine.
         penalties: the node's judgement of engines.
+        requests: by service, callers' requests since the last report.
     """
 
     node: str
@@ -32,6 +33,7 @@
     begun: Mapping[models.AdapterKey, int]
     work: Mapping[str, engines_lib.Work]
     penalties: Mapping[str, float]
+    requests: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 @final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -24,6 +24,8 @@
         may_have_run: it was sent, and no engine said that it did not run.
         sent_at: loop time of the last send to an engine.
         first_byte_at: loop time of the first byte to the caller.
+        events: pieces of a stream that were passed on.
+        longest_pause: seconds between two of them.
     """
 
     def __init__(
@@ -50,6 +52,8 @@
         self.sent_at: float | None = None
         self.first_byte_at: float | None = None
         self.events = 0
+        self.longest_pause = 0.0
+        self.last_event_at: float | None = None
         self.found_by = ""
         self.adapter_version = 0
 
@@ -81,7 +85,7 @@
         """Engines that are of no use for this request any more."""
         return self.unreached.union(self.tried)
 
-    def may_send_again(
+    async def may_send_again(
         self, budget: second_sends_lib.SecondSends, *, same_engine: bool = False
     ) -> bool:
         """Takes a second send from the budget, if one is allowed.
@@ -94,7 +98,7 @@
         return (
             (same_engine or self.may_try_another)
             and self.time_left() > 0
-            and budget.take(self.service, now)
+            and await budget.take(self.service, now)
         )
 
     def note_unreached(self, engine_id: str) -> None:
@@ -102,6 +106,15 @@
         self.tried.pop()
         self.unreached.add(engine_id)
 
+    def note_event(self) -> None:
+        """Notes that a piece of a stream was passed on."""
+        now = asyncio.get_running_loop().time()
+        if self.last_event_at is not None:
+            pause = now - self.last_event_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self.last_event_at = now
+        self.events += 1
+
     def note(self, text: str) -> None:
         """Adds a step to the request's log line."""
         elapsed = asyncio.get_running_loop().time() - self.received_at
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -216,6 +216,7 @@
             fields["found_by"] = call.found_by
             fields["version"] = call.adapter_version
             fields["events"] = call.events
+            fields["longest_pause_ms"] = int(call.longest_pause * 1000)
         if call.notes:
             fields["steps"] = call.notes
         self.events.write("request", fields)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -67,7 +67,7 @@
                 call.note(f"not_run {engine.engine_id}: {error}")
                 if error.unreachable:
                     call.note_unreached(engine.engine_id)
-                elif not call.may_send_again(self.budget):
+                elif not await call.may_send_again(self.budget):
                     raise errors.RefusedError(
                         "endpoint_refused",
                         retry_after=seats.RETRY_WITHOUT_ENGINE,
@@ -75,7 +75,7 @@
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
                 call.note(f"unknown {engine.engine_id}: {error}")
-                if not call.route.repeatable or not call.may_send_again(
+                if not call.route.repeatable or not await call.may_send_again(
                     self.budget
                 ):
                     raise
@@ -163,7 +163,7 @@
             if (
                 call.route.repeatable
                 and not reply.begun
-                and call.may_send_again(self.budget)
+                and await call.may_send_again(self.budget)
             ):
                 call.note(f"error {engine.engine_id}: {head.status}")
                 return False
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/second_sends.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/second_sends.py
@@ -5,22 +5,21 @@
 
 A node can't see what the others send, so it keeps to its own part: a share of
 the requests that it received itself, and an equal part of the fixed extra.
-Until it knows how many nodes there are, it has no part of the extra.
+Until it knows how many nodes there are, it has no part of the extra. When its
+part is spent it asks the owner for one of the sends that all nodes share, see
+`fleet.shared_sends`.
 """
 
 import collections
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import datetime
 from typing import final
 
-# Callers' requests are counted by the platform per window; a node that sees a
-# window's begin or end at another moment must not exceed either, so the ratio
-# is used up to this part only.
-RATIO_USED = 0.8
-
-# Part of the fixed extra that is spent; the rest covers nodes that have
-# joined a moment ago.
-EXTRA_USED = 0.8
+# Parts of the ratio and of the fixed extra that nodes spend without asking.
+# Together with what they share, a fifth is left: the platform counts in windows
+# that begin and end at other moments, and nodes may have joined a moment ago.
+RATIO_USED = 0.5
+EXTRA_USED = 0.5
 
 
 @final
@@ -31,6 +30,8 @@
         ratio: second sends allowed for each request.
         extra: second sends allowed beside, over all nodes, in a window.
         nodes: tells how many nodes share the extra; 0 when unknown.
+        ask: asks for a second send of a service that all nodes share.
+        unreported: by service, requests that the owner has not been told of.
     """
 
     def __init__(
@@ -40,11 +41,14 @@
         extra: float,
         window: datetime.timedelta,
         nodes: Callable[[], int],
+        ask: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.ratio = ratio
         self.extra = extra
         self.window = window.total_seconds()
         self.nodes = nodes
+        self.ask = ask
+        self.unreported: dict[str, int] = {}
         self.most_nodes = 0
         self.most_nodes_at = 0.0
         self.requests: dict[str, collections.deque[float]] = {}
@@ -53,9 +57,10 @@
     def note_request(self, service: str, now: float) -> None:
         """Counts a caller's request."""
         self._recent(self.requests, service, now).append(now)
+        self.unreported[service] = self.unreported.get(service, 0) + 1
 
     def left(self, service: str, now: float) -> float:
-        """Returns the second sends that this node may still make."""
+        """Returns the second sends that this node may make without asking."""
         requests = len(self._recent(self.requests, service, now))
         sent = len(self._recent(self.sends, service, now))
         allowed = self.ratio * RATIO_USED * requests
@@ -74,10 +79,10 @@
             self.most_nodes_at = now
         return self.most_nodes
 
-    def take(self, service: str, now: float) -> bool:
+    async def take(self, service: str, now: float) -> bool:
         """Takes one second send from the budget, if there is one."""
         if self.left(service, now) < 1.0:
-            return False
+            return await self.ask(service)
         self._recent(self.sends, service, now).append(now)
         return True
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -83,8 +83,11 @@
                 if error.misdirected:
                     misdirected += 1
                     absent_from = self._note_misdirected(call, found.engine)
-                if misdirected > MAX_MISDIRECTED or not call.may_send_again(
-                    self.budget, same_engine=error.misdirected
+                if (
+                    misdirected > MAX_MISDIRECTED
+                    or not await call.may_send_again(
+                        self.budget, same_engine=error.misdirected
+                    )
                 ):
                     raise errors.RefusedError(
                         "engine_refused",
@@ -93,7 +96,7 @@
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
                 call.note(f"broken {found.engine.engine_id}: {error}")
-                if not call.route.resumable or not call.may_send_again(
+                if not call.route.resumable or not await call.may_send_again(
                     self.budget
                 ):
                     raise
@@ -302,7 +305,7 @@
             for event in splitter.feed(chunk):
                 self._begin(opened.head)
                 await self.reply.write(event.data)
-                self.call.events += 1
+                self.call.note_event()
                 if event.event_id is not None:
                     self.last_event_id = event.event_id
         if splitter.rest:
@@ -314,7 +317,7 @@
     async def _pass_bytes(self, opened: sender_lib.OpenAnswer) -> None:
         async for chunk in opened.chunks():
             self._begin(opened.head)
-            self.call.events += 1
+            self.call.note_event()
             await self.reply.write(chunk)
         self._begin(opened.head)
 
--- a/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
+++ b/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
@@ -59,6 +59,11 @@
     async def Sync(self, stream: grpc_server.Stream) -> None:  # noqa: N802
         """Is not asked."""
 
+    async def TakeSecondSend(  # noqa: N802
+        self, stream: grpc_server.Stream
+    ) -> None:
+        """Is not asked."""
+
 
 @dataclasses.dataclass
 class Bench:
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -180,9 +180,7 @@
     """Its adapters counted as held for the rest of the day."""
     line = bench.loader.lines["e1"]
     line.last_order_at = asyncio.get_running_loop().time()
-    reading = asyncio.ensure_future(
-        bench.loader.read_state(ENTRY, capacity=1)
-    )
+    reading = asyncio.ensure_future(bench.loader.read_state(ENTRY, capacity=1))
     await asyncio.sleep(0.01)
     del bench.loader.lines["e1"]
     bench.placement.drop_engine("e1", 0.0)
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -22,6 +22,7 @@
 from _dogwoodhinge.fleet import owner_link
 from _dogwoodhinge.fleet import place_line
 from _dogwoodhinge.fleet import places as places_lib
+from _dogwoodhinge.fleet import shared_sends
 from dogwoodhinge_lab import fleet_fakes
 
 KEY = models.AdapterKey("base", "a1")
@@ -85,6 +86,7 @@
     server: grpc_server.Server
     port: int
     begun: dict[models.AdapterKey, int]
+    requests: dict[str, int]
     events: list[tuple[str, dict[str, object]]]
 
     async def start(self) -> None:
@@ -133,6 +135,9 @@
         orders=orders,
         directory=directory,
         configuration=lambda: CONFIGURATION,
+        shared_sends=shared_sends.SharedSends(
+            ratio=0.2, extra=0.0, window=datetime.timedelta(seconds=10)
+        ),
         report=report,
     )
     known = news.TableNews(is_owner=lambda: lease.is_mine)
@@ -143,15 +148,28 @@
         local=local,
         directory=directory,
         address=lambda: lease.record.address if lease.record else "",
+        report=report,
     )
     begun: dict[models.AdapterKey, int] = {}
-    uses = membership.UseCounter(active={}, begun=begun, directory=directory)
+    requests: dict[str, int] = {}
+    uses = membership.UseCounter(
+        active={}, begun=begun, requests=requests, directory=directory
+    )
     member = membership.Membership(
         lease=lease, link=link, uses=uses, report=report
     )
     server = grpc_server.Server([local])
     return Node(
-        lease, owner, link, member, directory, server, port, begun, events
+        lease,
+        owner,
+        link,
+        member,
+        directory,
+        server,
+        port,
+        begun,
+        requests,
+        events,
     )
 
 
@@ -183,6 +201,19 @@
     await found.stop()
 
 
+@pytest.fixture
+async def other(
+    table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
+) -> AsyncIterator[Node]:
+    """A node that joins when there is an owner."""
+    found = make("n2", table, orders)
+    found.directory.update(entry(), now=0.0)
+    await until(lambda: table.record)
+    await found.start()
+    yield found
+    await found.stop()
+
+
 async def knows_engine(node: Node) -> None:
     """Waits until the owner has read the engine's state."""
     await until(
@@ -259,6 +290,25 @@
     await other.stop()
 
 
+async def test_second_sends_are_asked_of_the_owner(
+    node: Node, other: Node
+) -> None:
+    await until(lambda: node.owner.leading and other.link.owner_may_order)
+    await until(lambda: other.link.nodes == 2)
+    other.requests["app"] = 100
+    await until(lambda: not other.requests)
+    assert await other.link.take_second_send("app")
+    assert not await other.link.take_second_send("llm")
+
+
+async def test_owner_that_is_gone_grants_no_second_send(
+    node: Node, other: Node, unused_tcp_port: int
+) -> None:
+    other.link.address = lambda: f"127.0.0.1:{unused_tcp_port}"
+    assert not await other.link.take_second_send("app")
+    assert "second_send_unasked" in [event for event, _ in other.events]
+
+
 async def test_line_reckons_with_what_loads_have_shown(node: Node) -> None:
     """It took requests for on time that were not: its estimate had fallen."""
     times = node.owner.placement.load_times
@@ -351,11 +401,16 @@
 
 def test_uses_that_could_not_be_reported_are_counted_again() -> None:
     begun = {KEY: 3}
+    requests = {"app": 5}
     counter = membership.UseCounter(
-        active={}, begun=begun, directory=engines.Directory()
+        active={},
+        begun=begun,
+        requests=requests,
+        directory=engines.Directory(),
     )
     request = counter.take(0.0)
-    assert begun == {}
+    assert (begun, requests) == ({}, {})
     begun[KEY] = 1
+    requests["app"] = 2
     counter.give_back(request)
-    assert begun == {KEY: 4}
+    assert (begun, requests) == ({KEY: 4}, {"app": 7})
--- /dev/null
+++ b/packages/dogwoodhinge/testing/fleet/test_shared_sends.py
@@ -0,0 +1,60 @@
+"""Tests of `_dogwoodhinge.fleet.shared_sends`: what nodes ask the owner for."""
+
+import datetime
+
+import pytest
+
+from _dogwoodhinge.fleet import shared_sends
+
+WINDOW = datetime.timedelta(seconds=10)
+
+
+def make(*, extra: float = 0.0) -> shared_sends.SharedSends:
+    """Returns a ledger of an owner since second 0."""
+    return shared_sends.SharedSends(ratio=0.2, extra=extra, window=WINDOW)
+
+
+def spend(shared: shared_sends.SharedSends, now: float) -> int:
+    """Takes all that is left."""
+    taken = 0
+    while shared.take("app", now):
+        taken += 1
+    return taken
+
+
+def test_nothing_is_granted_without_requests() -> None:
+    assert spend(make(), 20.0) == 0
+
+
+def test_new_owner_gives_nothing_of_the_extra_for_a_window() -> None:
+    """The owner before may have given it a moment ago."""
+    shared = make(extra=100)
+    shared.restart(100.0)
+    assert spend(shared, 109.9) == 0
+    assert 0 < spend(shared, 110.1) <= 100
+
+
+def test_new_owner_counts_only_what_was_reported_to_it() -> None:
+    shared = make()
+    shared.note_requests("app", 1_000, 20.0)
+    shared.restart(21.0)
+    assert spend(shared, 22.0) == 0
+
+
+@pytest.mark.parametrize("offset", [0.0, 3.0, 7.5], ids=str)
+def test_every_window_keeps_to_its_part(offset: float) -> None:
+    shared = make()
+    grants = []
+    for step in range(400):
+        now = step * 0.1
+        shared.note_requests("app", 10, now)
+        grants += [now] * spend(shared, now)
+    in_window = [t for t in grants if offset <= t < offset + 10]
+    assert len(in_window) <= shared_sends.RATIO_SHARED * 0.2 * 1_010
+
+
+def test_services_do_not_share() -> None:
+    shared = make()
+    shared.note_requests("app", 100, 20.0)
+    assert not shared.take("llm", 20.0)
+    assert shared.take("app", 20.0)
--- a/packages/dogwoodhinge/testing/gateway/test_second_sends.py
+++ b/packages/dogwoodhinge/testing/gateway/test_second_sends.py
@@ -1,53 +1,65 @@
 """Tests of the budget for sends beyond the first."""
 
+from collections.abc import Awaitable, Callable
 import datetime
 
 import pytest
 
+from _dogwoodhinge.fleet import shared_sends
 from _dogwoodhinge.gateway import second_sends
 
 WINDOW = datetime.timedelta(seconds=10)
 
 
-def make(*, extra: float = 0.0, nodes: int = 4) -> second_sends.SecondSends:
+async def refuse(service: str) -> bool:
+    """Stands for an owner that has nothing to share."""
+    return False
+
+
+def make(
+    *,
+    extra: float = 0.0,
+    nodes: int = 4,
+    ask: Callable[[str], Awaitable[bool]] = refuse,
+) -> second_sends.SecondSends:
     """Returns a budget."""
     return second_sends.SecondSends(
-        ratio=0.2, extra=extra, window=WINDOW, nodes=lambda: nodes
+        ratio=0.2, extra=extra, window=WINDOW, nodes=lambda: nodes, ask=ask
     )
 
 
-def spend(budget: second_sends.SecondSends, now: float) -> int:
+async def spend(budget: second_sends.SecondSends, now: float) -> int:
     """Takes all that is left."""
     taken = 0
-    while budget.take("app", now):
+    while await budget.take("app", now):
         taken += 1
     return taken
 
 
-def test_engines_that_fail_everything_get_a_bounded_number_more() -> None:
+async def test_engines_that_fail_everything_get_a_bounded_number_more() -> None:
     budget = make()
     for _ in range(100):
         budget.note_request("app", 0.0)
-    assert spend(budget, 0.0) <= 0.2 * 100
+    assert await spend(budget, 0.0) <= 0.2 * 100
 
 
-def test_all_nodes_together_keep_to_the_extra() -> None:
+async def test_all_nodes_together_keep_to_the_extra() -> None:
     nodes = [make(extra=54, nodes=7) for _ in range(7)]
-    assert 0 < sum(spend(node, 0.0) for node in nodes) <= 54
+    assert 0 < sum([await spend(node, 0.0) for node in nodes]) <= 54
 
 
-def test_many_nodes_keep_to_the_extra_from_their_start() -> None:
+async def test_many_nodes_keep_to_the_extra_from_their_start() -> None:
     """Each of 83 nodes took the part of one of eight: BUDGET was broken."""
     unknown = make(extra=206, nodes=0)
-    assert spend(unknown, 0.0) == 0
+    assert await spend(unknown, 0.0) == 0
     nodes = [make(extra=206, nodes=83) for _ in range(83)]
-    assert 0 < sum(spend(node, 0.0) for node in nodes) <= 206
+    assert 0 < sum([await spend(node, 0.0) for node in nodes]) <= 206
 
 
-def test_cut_off_nodes_still_share_the_extra() -> None:
+async def test_cut_off_nodes_still_share_the_extra() -> None:
     nodes = 8
     budget = second_sends.SecondSends(
-        ratio=0.2, extra=100, window=WINDOW, nodes=lambda: nodes
+        ratio=0.2, extra=100, window=WINDOW, nodes=lambda: nodes, ask=refuse
     )
     before = budget.left("app", 0.0)
     nodes = 2
@@ -55,27 +67,66 @@
     assert budget.left("app", 11.0) > before
 
 
-def test_spent_budget_returns_with_time() -> None:
+async def test_spent_budget_returns_with_time() -> None:
     budget = make(extra=40)
-    taken = spend(budget, 0.0)
-    assert spend(budget, 9.9) == 0
-    assert spend(budget, 10.1) == taken
+    taken = await spend(budget, 0.0)
+    assert await spend(budget, 9.9) == 0
+    assert await spend(budget, 10.1) == taken
 
 
 @pytest.mark.parametrize("offset", [0.0, 3.0, 7.5], ids=str)
-def test_every_window_keeps_to_the_ratio(offset: float) -> None:
+async def test_every_window_keeps_to_the_ratio(offset: float) -> None:
     budget = make()
     sends = []
     for step in range(400):
         now = step * 0.1
         budget.note_request("app", now)
-        if budget.take("app", now):
+        if await budget.take("app", now):
             sends.append(now)
     in_window = [t for t in sends if offset <= t < offset + 10]
     assert len(in_window) <= 0.2 * 100
 
 
-def test_services_have_budgets_of_their_own() -> None:
+async def test_services_have_budgets_of_their_own() -> None:
     budget = make(extra=40)
-    spend(budget, 0.0)
-    assert budget.take("llm", 0.0)
+    await spend(budget, 0.0)
+    assert await budget.take("llm", 0.0)
+
+
+def make_nodes(
+    shared: shared_sends.SharedSends, count: int
+) -> list[second_sends.SecondSends]:
+    """Returns the budgets of nodes that ask one owner."""
+
+    async def ask(service: str) -> bool:
+        return shared.take(service, 20.0)
+
+    return [make(extra=206, nodes=count, ask=ask) for _ in range(count)]
+
+
+def make_shared(*, extra: float = 206.0) -> shared_sends.SharedSends:
+    """Returns what nodes share, after some time of the owner's."""
+    return shared_sends.SharedSends(ratio=0.2, extra=extra, window=WINDOW)
+
+
+async def test_node_whose_engine_fails_uses_what_others_leave() -> None:
+    """One in 83 meets ten failures; it had two sends of its own."""
+    shared = make_shared()
+    nodes = make_nodes(shared, 83)
+    for node in nodes:
+        for _ in range(5):
+            node.note_request("app", 20.0)
+        shared.note_requests("app", node.unreported["app"], 20.0)
+    taken = [await nodes[0].take("app", 20.0) for _ in range(10)]
+    assert all(taken)
+
+
+async def test_own_and_shared_parts_keep_to_the_budget() -> None:
+    shared = make_shared()
+    nodes = make_nodes(shared, 83)
+    for node in nodes:
+        for _ in range(30):
+            node.note_request("app", 20.0)
+        shared.note_requests("app", node.unreported["app"], 20.0)
+    total = sum([await spend(node, 20.0) for node in nodes])
+    assert 0.6 * (0.2 * 30 * 83 + 206) < total <= 0.2 * 30 * 83 + 206
