Trial: long prompts and short ones on engines of their own

Change: one engine in six takes the long prompts, the others the short ones, at a cost of 0.7 engine loads.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -16,6 +16,7 @@
 
 from _dogwoodhinge.fleet import choice
 from _dogwoodhinge.fleet import load_times as load_times_lib
+from _dogwoodhinge.fleet import long_prompts
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import places as places_lib
 from _dogwoodhinge.fleet import popularity as popularity_lib
@@ -172,7 +173,9 @@
         Returns:
             A seat; `new` ones have to be loaded, see `complete` and `undo`.
         """
-        usable = [c for c in candidates if c.engine_id not in avoid]
+        known = list(candidates)
+        apart = long_prompts.engines_apart(c.engine_id for c in known)
+        usable = [c for c in known if c.engine_id not in avoid]
         held = self._held(key, version, usable, now)
         if held is not None:
             self._give(held.engine_id, prompt_tokens, now)
@@ -182,8 +185,15 @@
         ) = None
         for candidate in usable:
             offer = self._offer(key, candidate, now)
-            if offer is not None and (best is None or offer[0] < best[0]):
-                best = offer
+            if offer is None:
+                continue
+            cost, _, victim = offer
+            if long_prompts.is_long(prompt_tokens) != (
+                candidate.engine_id in apart
+            ):
+                cost += long_prompts.APART_COST if apart else 0.0
+            if best is None or cost < best[0]:
+                best = (cost, candidate, victim)
         if best is None:
             return places_lib.NoRoom()
         _, candidate, victim = best
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -9,6 +9,7 @@
 
 from _dogwoodhinge.fleet import choice
 from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import long_prompts
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import owner as owner_lib
 from _dogwoodhinge.fleet import owner_link as owner_link_lib
@@ -141,14 +142,23 @@
                 "no_engine", retry_after=RETRY_WITHOUT_ENGINE
             )
         if not key.adapter:
-            return self._any_with_model(engines, key.model, now)
+            return self._any_with_model(
+                engines, key.model, want.prompt_tokens, now
+            )
         holders = self._usable_holders(
             service, key, want.version, want.avoid, now
         )
         if holders and not want.absent_from:
-            crowded = self._crowded(engines, holders)
-            if not crowded:
-                return await self._use_holder(holders, key, want.version, now)
+            fitting = [
+                (engine, held)
+                for engine, held in holders
+                if engine in self._fitting(engines, want.prompt_tokens, now)
+            ]
+            crowded = self._crowded(engines, fitting or holders)
+            if fitting and not crowded:
+                return await self._use_holder(fitting, key, want.version, now)
+            if not fitting:
+                crowded = frozenset(engine.engine_id for engine, _ in holders)
             copy = dataclasses.replace(
                 want, avoid=want.avoid | crowded, patience_seconds=0.0
             )
@@ -180,6 +190,17 @@
             and (doubtful or not engine.health.to_be_avoided(now))
         ]
 
+    def _fitting(
+        self, engines: list[engines_lib.Engine], prompt_tokens: int, now: float
+    ) -> list[engines_lib.Engine]:
+        """Returns the engines for prompts of this length, or all."""
+        sound = [e for e in engines if not e.health.to_be_avoided(now)]
+        apart = long_prompts.engines_apart(e.engine_id for e in sound)
+        if not apart:
+            return engines
+        is_long = long_prompts.is_long(prompt_tokens)
+        return [e for e in sound if (e.engine_id in apart) == is_long]
+
     def _crowded(
         self,
         engines: list[engines_lib.Engine],
@@ -218,10 +239,16 @@
         return Found(engine=engine, version=version or None, found_by="held")
 
     def _any_with_model(
-        self, engines: list[engines_lib.Engine], model: str, now: float
+        self,
+        engines: list[engines_lib.Engine],
+        model: str,
+        prompt_tokens: int,
+        now: float,
     ) -> "Found | errors.RefusedError":
+        holders = [e for e in engines if e.holds_model(model)]
+        fitting = self._fitting(holders, prompt_tokens, now)
         engine = choice.choose(
-            [e for e in engines if e.holds_model(model)],
+            fitting or holders,
             zone=self.zone,
             now=now,
             draw=self.draw,
