--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/long_prompts.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/long_prompts.py
@@ -15,7 +15,7 @@
 
 # Reading so many takes a tenth of a second at the sheets' 38.4 tokens a
 # millisecond, as long as a stream needs for an event or two.
-LONG_TOKENS = 4_000
+LONG_TOKENS = 6_000
 
 # One engine of so many takes the long prompts, which are a third of all tokens
 # that are read, while reading takes half of the engines' time at a crest.
@@ -24,9 +24,11 @@
 # With fewer engines, one is needed for everything.
 FEWEST_ENGINES = 4
 
-# Cost of the wrong engine, in engine loads: less than a full engine, so that
-# at a crest every place is used.
-APART_COST = 0.7
+# Costs of the wrong engine, in engine loads. A long prompt may wait for another
+# one, since its callers expect its reading to take as long; a short one goes
+# where long ones are read rather than to an engine that is nearly full.
+LONG_ELSEWHERE_COST = 2.0
+SHORT_APART_COST = 0.7
 
 
 def is_long(prompt_tokens: int) -> bool:
@@ -34,6 +36,20 @@
     return prompt_tokens >= LONG_TOKENS
 
 
+def cost(prompt_tokens: int, engine_id: str, apart: frozenset[str]) -> float:
+    """Returns what an engine costs by the length of a prompt.
+
+    Args:
+        prompt_tokens: of the request.
+        engine_id: the engine.
+        apart: the engines for long prompts; empty when there are too few.
+    """
+    if is_long(prompt_tokens):
+        wrong = bool(apart) and engine_id not in apart
+        return LONG_ELSEWHERE_COST if wrong else 0.0
+    return SHORT_APART_COST if engine_id in apart else 0.0
+
+
 def engines_apart(engine_ids: Iterable[str]) -> frozenset[str]:
     """Returns the engines for long prompts; the same on all nodes.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -188,10 +188,9 @@
             if offer is None:
                 continue
             cost, _, victim = offer
-            if long_prompts.is_long(prompt_tokens) != (
-                candidate.engine_id in apart
-            ):
-                cost += long_prompts.APART_COST if apart else 0.0
+            cost += long_prompts.cost(
+                prompt_tokens, candidate.engine_id, apart
+            )
             if best is None or cost < best[0]:
                 best = (cost, candidate, victim)
         if best is None:
