--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/choice.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/choice.py
@@ -26,10 +26,6 @@
 # A penalty of one weighs as much as so many full engines.
 PENALTY_WEIGHT = 2.0
 
-# A slow engine is used less also while all are nearly empty: one that is half
-# as slow again counts as fuller by a tenth of its slots or so.
-SLOWNESS_LOAD = 0.3
-
 # Crossing zones costs about a millisecond each way, of tens for an answer.
 OTHER_ZONE = 0.02
 
@@ -42,24 +38,17 @@
     return work.unread_tokens / READ_TOKENS_PER_SECOND
 
 
-def load(work: engines_lib.Work, slots: int, slowness: float = 1.0) -> float:
-    """Returns how full an engine is; 1 and more mean that requests wait.
-
-    Args:
-        work: what runs and waits there.
-        slots: requests that it runs at once.
-        slowness: of the engine against others, see `pace`.
-    """
-    full = (
+def load(work: engines_lib.Work, slots: int) -> float:
+    """Returns how full an engine is; 1 and more mean that requests wait."""
+    return (
         work.running / max(1, slots)
         + backlog_seconds(work) / FULL_BACKLOG_SECONDS
     )
-    return max(0.0, full * slowness + SLOWNESS_LOAD * (slowness - 1.0))
 
 
 def score(engine: engines_lib.Engine, zone: str, now: float) -> float:
     """Returns the cost of sending a request to an engine; lower is better."""
-    result = load(engine.work, engine.entry.slots, engine.slowness)
+    result = load(engine.work, engine.entry.slots)
     result += PENALTY_WEIGHT * engine.health.current(now)
     if engine.entry.zone != zone:
         result += OTHER_ZONE
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -60,9 +60,6 @@
         running_elsewhere: requests of other nodes, from the last exchange.
         unread_elsewhere: their prompt tokens that wait to be read.
         holdings: adapters on it, from the owner and from its own entry.
-        slowness: against others, from the last exchange; 1 is usual.
-        paced_events: events of streams that this node has not reported yet.
-        paced_seconds: between them, summed up.
     """
 
     def __init__(self, entry: models.EngineEntry) -> None:
@@ -75,9 +72,6 @@
         self.unread_elsewhere = 0
         self.health = health_lib.EngineHealth()
         self.holdings: dict[models.AdapterKey, Holding] = {}
-        self.slowness = 1.0
-        self.paced_events = 0
-        self.paced_seconds = 0.0
 
     @property
     def engine_id(self) -> str:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -146,11 +146,6 @@
                 e.engine_id: e.penalty_percent / 100 for e in request.engines
             },
             requests={s.service: s.begun for s in request.services},
-            paces={
-                e.engine_id: (e.paced_events, e.paced_ms / 1000)
-                for e in request.engines
-                if e.paced_events
-            },
         )
         try:
             self.owner.take_use(use)
@@ -162,7 +157,6 @@
         if request.token == token:
             changes = placement.changes_since(request.known_change)
         complete = changes is None
-        slowness = self.owner.slowness
         if changes is None:
             changes = placement.all_places()
         return fleet_pb2.SyncReply(
@@ -175,7 +169,6 @@
                     engine_id=engine_id,
                     running=work.running,
                     unread_tokens=work.unread_tokens,
-                    slowness_percent=round(slowness.get(engine_id, 0.0) * 100),
                 )
                 for engine_id, work in self.owner.usage.work.items()
             ],
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -42,17 +42,6 @@
 RENEW_RETRY = datetime.timedelta(milliseconds=150)
 
 
-def _take_pace(engine: engines_lib.Engine) -> dict[str, int]:
-    """Returns what streams have shown, and starts to sum up anew."""
-    found = {
-        "paced_events": engine.paced_events,
-        "paced_ms": round(engine.paced_seconds * 1000),
-    }
-    engine.paced_events = 0
-    engine.paced_seconds = 0.0
-    return found
-
-
 @final
 class UseCounter:
     """What this node uses; the counts begun are taken at each exchange."""
@@ -92,12 +81,9 @@
                     running=engine.running,
                     unread_tokens=engine.unread_tokens,
                     penalty_percent=int(engine.health.current(now) * 100),
-                    **_take_pace(engine),
                 )
                 for engine in self.directory.engines.values()
-                if engine.running
-                or engine.paced_events
-                or engine.health.current(now) > 0.05
+                if engine.running or engine.health.current(now) > 0.05
             ],
             services=[
                 fleet_pb2.ServiceUse(service=service, begun=count)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -20,7 +20,6 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease as order_lease_lib
 from _dogwoodhinge.fleet import orders as orders_lib
-from _dogwoodhinge.fleet import pace as pace_lib
 from _dogwoodhinge.fleet import place_line as place_line_lib
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import places as places_lib
@@ -87,8 +86,6 @@
         )
         self.base_models = base_models_lib.BaseModelLoads()
         self.usage = usage_lib.Usage()
-        self.paces = pace_lib.Paces()
-        self.slowness: dict[str, float] = {}
         self.reading: dict[str, asyncio.Task[None]] = {}
         self.line = place_line_lib.PlaceLine(
             find=self._find,
@@ -238,8 +235,6 @@
         self.usage.take(use, now)
         for service, count in use.requests.items():
             self.shared_sends.note_requests(service, count, now)
-        for engine_id, (events, seconds) in use.paces.items():
-            self.paces.note(engine_id, events, seconds, now)
         self.placement.note_active(use.node, use.active, use.begun, now)
 
     def take_second_send(self, service: str) -> bool:
@@ -274,7 +269,6 @@
                 self.report("placement_started", {"token": self.lease.token})
             self._forget_nodes()
             self._follow_engines()
-            self._compare_paces()
             await self._load_base_models()
         elif self.leading:
             self._stop_leading()
@@ -306,7 +300,6 @@
             ):
                 del self.loader.lines[engine_id]
                 self.placement.drop_engine(engine_id, now)
-                self.paces.forget(engine_id)
                 self.base_models.note_ended(engine_id)
         for engine_id in current:
             known = self.loader.lines.get(engine_id)
@@ -317,17 +310,6 @@
             ):
                 self._start_reading(engine_id, self._settle(engine_id))
 
-    def _compare_paces(self) -> None:
-        now = asyncio.get_running_loop().time()
-        by_service: dict[str, list[str]] = {}
-        for engine in self._model_engines():
-            by_service.setdefault(engine.entry.service, []).append(
-                engine.engine_id
-            )
-        self.slowness = {}
-        for engine_ids in by_service.values():
-            self.slowness.update(self.paces.slowness(engine_ids, now))
-
     def _read_soon(self, engine_id: str) -> None:
         if engine_id not in self.reading:
             self._start_reading(engine_id, self._read(engine_id))
@@ -417,7 +399,6 @@
                     engine.entry.slots,
                     self.usage.work.get(engine.engine_id, usage_lib.NOTHING),
                     penalty,
-                    self.slowness.get(engine.engine_id, 1.0),
                 )
             )
         return found
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner_link.py
@@ -227,7 +227,6 @@
             engine.unread_elsewhere = max(
                 0, all_nodes.unread_tokens - this_node.unread_tokens
             )
-            engine.slowness = all_nodes.slowness_percent / 100 or 1.0
 
     def _is_local(self) -> bool:
         return self.address() == self.own_address
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -188,7 +188,9 @@
             if offer is None:
                 continue
             cost, _, victim = offer
-            cost += long_prompts.cost(prompt_tokens, candidate.engine_id, apart)
+            cost += long_prompts.cost(
+                prompt_tokens, candidate.engine_id, apart
+            )
             if best is None or cost < best[0]:
                 best = (cost, candidate, victim)
         if best is None:
@@ -429,7 +431,7 @@
         engine = self.engines.get(candidate.engine_id)
         if engine is not None:
             work += engine.given_work(now)
-        return choice.load(work, candidate.slots, candidate.slowness)
+        return choice.load(work, candidate.slots)
 
     def _offer(
         self,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/places.py
@@ -106,7 +106,6 @@
         slots: requests that it runs at once.
         work: what runs and waits there, from the nodes' last reports.
         penalty: see `health`.
-        slowness: see `pace`.
     """
 
     engine_id: str
@@ -114,7 +113,6 @@
     slots: int
     work: engines_lib.Work
     penalty: float
-    slowness: float = 1.0
 
 
 @final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/usage.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/usage.py
@@ -26,7 +26,6 @@
         work: requests under way, by engine.
         penalties: the node's judgement of engines.
         requests: by service, callers' requests since the last report.
-        paces: by engine, events and seconds of streams that have ended since.
     """
 
     node: str
@@ -35,9 +34,6 @@
     work: Mapping[str, engines_lib.Work]
     penalties: Mapping[str, float]
     requests: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    paces: Mapping[str, tuple[int, float]] = dataclasses.field(
-        default_factory=dict
-    )
 
 
 @final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -26,8 +26,6 @@
         first_byte_at: loop time of the first byte to the caller.
         events: pieces of a stream that were passed on.
         longest_pause: seconds between two of them.
-        run_events: those of the engine that streams now.
-        run_begun_at: loop time of its first one.
     """
 
     def __init__(
@@ -56,8 +54,6 @@
         self.events = 0
         self.longest_pause = 0.0
         self.last_event_at: float | None = None
-        self.run_events = 0
-        self.run_begun_at = 0.0
         self.found_by = ""
         self.adapter_version = 0
 
@@ -116,11 +112,8 @@
         if self.last_event_at is not None:
             pause = now - self.last_event_at
             self.longest_pause = max(self.longest_pause, pause)
-        if not self.run_events:
-            self.run_begun_at = now
         self.last_event_at = now
         self.events += 1
-        self.run_events += 1
 
     def note(self, text: str) -> None:
         """Adds a step to the request's log line."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -208,17 +208,13 @@
     ) -> frozenset[str]:
         """Returns the holders, if a load elsewhere is faster than they are."""
         loads = {
-            engine.engine_id: choice.load(
-                engine.work, engine.entry.slots, engine.slowness
-            )
+            engine.engine_id: choice.load(engine.work, engine.entry.slots)
             for engine, _ in holders
         }
         least = min(loads.values())
         if least < CROWDED_LOAD:
             return frozenset()
-        emptiest = min(
-            choice.load(e.work, e.entry.slots, e.slowness) for e in engines
-        )
+        emptiest = min(choice.load(e.work, e.entry.slots) for e in engines)
         if least - emptiest < LOAD_DIFFERENCE_FOR_COPY:
             return frozenset()
         return frozenset(loads)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -147,7 +147,6 @@
         unread = Unread(engine, call.request.prompt_tokens)
         call.tried.append(engine.engine_id)
         call.sent_at = loop.time()
-        call.run_events = 0
         engine.running += 1
         try:
             opened = await self.sender.open(
@@ -192,7 +191,6 @@
         finally:
             engine.running -= 1
             unread.end()
-            _note_pace(call, engine)
 
     def _may_leave(
         self, call: call_lib.Call, engine: engines_lib.Engine
@@ -211,13 +209,6 @@
         )
 
 
-def _note_pace(call: call_lib.Call, engine: engines_lib.Engine) -> None:
-    """Counts the events of an engine's run, and the time between them."""
-    if call.run_events > 1 and call.last_event_at is not None:
-        engine.paced_events += call.run_events - 1
-        engine.paced_seconds += call.last_event_at - call.run_begun_at
-
-
 def urgency(prompt_tokens: int, *, time_to_target: float) -> int:
     """Returns the urgency of a request at its engine.
 
