Long prompts are read on a few engines, beside whatever runs there

Change: prompts from 6,000 tokens prefer one engine in six, the same on all nodes; a holder elsewhere is used when no place is to be had there. Where there are fewer than four engines nothing changes.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/long_prompts.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/long_prompts.py
@@ -1,34 +1,32 @@
-"""Keeps long prompts apart from the streams of short ones.
+"""Keeps long prompts away from most streams.
 
 Load pattern: one prompt in fifty is ten times as long as the others. Engines
 read prompts in pieces between the tokens of running requests; a piece takes
 several times as long as a step without one, so that while a long prompt is read
 the streams beside it pause for longer than their callers accept.
 
-A few engines take the long prompts. It is a preference: a place there, or
-elsewhere, is better than none.
+A few engines take the long prompts, one after the other, beside what else runs
+there. It is a preference: a place elsewhere is better than none.
 """
 
 from collections.abc import Iterable
 import functools
 import zlib
 
-# Reading so many takes a tenth of a second at the sheets' 38.4 tokens a
-# millisecond, as long as a stream needs for an event or two.
+# Beside prompts of 6,000 to 12,000 tokens a third of the streams paused for too
+# long, beside shorter ones a tenth.
 LONG_TOKENS = 6_000
 
-# One engine of so many takes the long prompts, which are a third of all tokens
-# that are read, while reading takes half of the engines' time at a crest.
+# One engine of so many takes the long prompts: they are a quarter of all tokens
+# that are read, and reading takes a third of the engines' time.
 ENGINES_FOR_ONE_APART = 6
 
 # With fewer engines, one is needed for everything.
 FEWEST_ENGINES = 4
 
-# Costs of the wrong engine, in engine loads. A long prompt may wait for another
-# one, since its callers expect its reading to take as long; a short one goes
-# where long ones are read rather than to an engine that is nearly full.
-LONG_ELSEWHERE_COST = 2.0
-SHORT_APART_COST = 0.7
+# Cost of another engine, in engine loads: a long prompt may wait for two
+# others, since callers expect its first event half a second later.
+ELSEWHERE_COST = 2.0
 
 
 def is_long(prompt_tokens: int) -> bool:
@@ -44,10 +42,9 @@
         engine_id: the engine.
         apart: the engines for long prompts; empty when there are too few.
     """
-    if is_long(prompt_tokens):
-        wrong = bool(apart) and engine_id not in apart
-        return LONG_ELSEWHERE_COST if wrong else 0.0
-    return SHORT_APART_COST if engine_id in apart else 0.0
+    if not apart or not is_long(prompt_tokens) or engine_id in apart:
+        return 0.0
+    return ELSEWHERE_COST
 
 
 def engines_apart(engine_ids: Iterable[str]) -> frozenset[str]:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -188,9 +188,7 @@
             if offer is None:
                 continue
             cost, _, victim = offer
-            cost += long_prompts.cost(
-                prompt_tokens, candidate.engine_id, apart
-            )
+            cost += long_prompts.cost(prompt_tokens, candidate.engine_id, apart)
             if best is None or cost < best[0]:
                 best = (cost, candidate, victim)
         if best is None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -149,16 +149,14 @@
             service, key, want.version, want.avoid, now
         )
         if holders and not want.absent_from:
-            fitting = [
-                (engine, held)
-                for engine, held in holders
-                if engine in self._fitting(engines, want.prompt_tokens, now)
-            ]
-            crowded = self._crowded(engines, fitting or holders)
-            if fitting and not crowded:
-                return await self._use_holder(fitting, key, want.version, now)
-            if not fitting:
+            fits = self._fitting(engines, want.prompt_tokens, now)
+            fitting = [found for found in holders if found[0] in fits]
+            if fitting:
+                crowded = self._crowded(engines, fitting)
+            else:
                 crowded = frozenset(engine.engine_id for engine, _ in holders)
+            if not crowded:
+                return await self._use_holder(fitting, key, want.version, now)
             copy = dataclasses.replace(
                 want, avoid=want.avoid | crowded, patience_seconds=0.0
             )
@@ -193,13 +191,12 @@
     def _fitting(
         self, engines: list[engines_lib.Engine], prompt_tokens: int, now: float
     ) -> list[engines_lib.Engine]:
-        """Returns the engines for prompts of this length, or all."""
+        """Returns the engines for prompts of this length."""
+        if not long_prompts.is_long(prompt_tokens):
+            return engines
         sound = [e for e in engines if not e.health.to_be_avoided(now)]
         apart = long_prompts.engines_apart(e.engine_id for e in sound)
-        if not apart:
-            return engines
-        is_long = long_prompts.is_long(prompt_tokens)
-        return [e for e in sound if (e.engine_id in apart) == is_long]
+        return [e for e in sound if e.engine_id in apart] or engines
 
     def _crowded(
         self,
@@ -246,9 +243,8 @@
         now: float,
     ) -> "Found | errors.RefusedError":
         holders = [e for e in engines if e.holds_model(model)]
-        fitting = self._fitting(holders, prompt_tokens, now)
         engine = choice.choose(
-            fitting or holders,
+            self._fitting(holders, prompt_tokens, now),
             zone=self.zone,
             now=now,
             draw=self.draw,
