--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
@@ -16,14 +16,12 @@
 import sys
 from typing import final
 
-from _dogwoodhinge.fleet import long_prompts
 from _dogwoodhinge.fleet import waiting
 from dogwoodhinge_lab import replay_patterns as patterns
 from dogwoodhinge_lab import replay_ways as ways
 
 READ_TOKENS_PER_SECOND = 38_400  # as the sheets state
 TARGET_SECONDS = 0.5
-LONG_TARGET_SECONDS = 1.0  # as the sheets state for long prompts
 REPORT_SECONDS = 0.25
 GENERATE_SECONDS = 0.4
 
@@ -39,19 +37,11 @@
 @final
 @dataclasses.dataclass(slots=True)
 class Result:
-    """How a pattern went.
-
-    Attributes:
-        held_up: streams beside which a long prompt was read.
-        well: requests that were on time, long prompts by their own target, and
-            whose streams were not held up.
-    """
+    """How a pattern went."""
 
     asked: int = 0
     on_time: int = 0
     refused: int = 0
-    held_up: int = 0
-    well: int = 0
 
     @property
     def share(self) -> float:
@@ -59,16 +49,6 @@
         return self.on_time / max(1, self.asked)
 
 
-@final
-@dataclasses.dataclass(slots=True)
-class Stream:
-    """A request from its first event on."""
-
-    end: float
-    on_time: bool
-    held_up: bool = False
-
-
 def replay(
     pattern: patterns.Pattern,
     way: ways.Way,
@@ -88,8 +68,6 @@
     order = itertools.count()
     events: list[tuple[float, int, Callable[[float], None]]] = []
     free_at = [0.0] * ways.ENGINES
-    begun: list[Stream] = []
-    streams: list[list[Stream]] = [[] for _ in range(ways.ENGINES)]
     line = waiting.WaitingLine()
     waiters: dict[waiting.Waiter, patterns.Arrival] = {}
 
@@ -156,16 +134,6 @@
         start = max(now, free_at[engine])
         first = start + request.tokens / READ_TOKENS_PER_SECOND
         free_at[engine] = first
-        if long_prompts.is_long(request.tokens):
-            for stream in streams[engine]:
-                stream.held_up |= stream.end > start
-        streams[engine] = [s for s in streams[engine] if s.end > now]
-        target = TARGET_SECONDS
-        if long_prompts.is_long(request.tokens):
-            target = LONG_TARGET_SECONDS
-        stream = Stream(first + GENERATE_SECONDS, first - request.at <= target)
-        streams[engine].append(stream)
-        begun.append(stream)
         at(first, lambda t: way.read(engine, request.tokens))
         result.on_time += first - request.at <= TARGET_SECONDS
         at(
@@ -182,8 +150,6 @@
     while events:
         now, _, step_at = heapq.heappop(events)
         step_at(now)
-    result.held_up = sum(stream.held_up for stream in begun)
-    result.well = sum(s.on_time and not s.held_up for s in begun)
     return result
 
 
--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay_ways.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay_ways.py
@@ -5,7 +5,6 @@
 from typing import Protocol, final
 
 from _dogwoodhinge.fleet import engines as engines_lib
-from _dogwoodhinge.fleet import long_prompts
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import places as places_lib
@@ -78,7 +77,9 @@
             places_lib.Candidate(str(e), PLACES, SLOTS, self.reported[e], 0.0)
             for e in usable
         ]
-        seat = self._find(key, candidates, tokens, now)
+        seat = self.placement.find(
+            key, 0, candidates, avoid=(), prompt_tokens=tokens, now=now
+        )
         if isinstance(seat, places_lib.NoRoom):
             return None
         engine = int(seat.engine_id)
@@ -95,32 +96,6 @@
             ready_at += placement_lib.TOO_EARLY_PAUSE_SECONDS
         return engine, max(0.0, ready_at - now)
 
-    def _find(
-        self,
-        key: models.AdapterKey,
-        candidates: list[places_lib.Candidate],
-        tokens: int,
-        now: float,
-    ) -> places_lib.Seat | places_lib.NoRoom:
-        """Asks for a copy first, as nodes do, where a holder does not fit."""
-        if long_prompts.is_long(tokens):
-            ids = [candidate.engine_id for candidate in candidates]
-            apart = long_prompts.engines_apart(ids)
-            if apart:
-                seat = self.placement.find(
-                    key,
-                    0,
-                    candidates,
-                    avoid=set(ids) - apart,
-                    prompt_tokens=tokens,
-                    now=now,
-                )
-                if isinstance(seat, places_lib.Seat):
-                    return seat
-        return self.placement.find(
-            key, 0, candidates, avoid=(), prompt_tokens=tokens, now=now
-        )
-
     def holds(self, adapter: int) -> bool:
         """Asks the placement."""
         return self.placement.is_held(_key(adapter), 0, avoid=())
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -16,7 +16,6 @@
 
 from _dogwoodhinge.fleet import choice
 from _dogwoodhinge.fleet import load_times as load_times_lib
-from _dogwoodhinge.fleet import long_prompts
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import places as places_lib
 from _dogwoodhinge.fleet import popularity as popularity_lib
@@ -173,9 +172,7 @@
         Returns:
             A seat; `new` ones have to be loaded, see `complete` and `undo`.
         """
-        known = list(candidates)
-        apart = long_prompts.engines_apart(c.engine_id for c in known)
-        usable = [c for c in known if c.engine_id not in avoid]
+        usable = [c for c in candidates if c.engine_id not in avoid]
         held = self._held(key, version, usable, now)
         if held is not None:
             self._give(held.engine_id, prompt_tokens, now)
@@ -185,12 +182,8 @@
         ) = None
         for candidate in usable:
             offer = self._offer(key, candidate, now)
-            if offer is None:
-                continue
-            cost, _, victim = offer
-            cost += long_prompts.cost(prompt_tokens, candidate.engine_id, apart)
-            if best is None or cost < best[0]:
-                best = (cost, candidate, victim)
+            if offer is not None and (best is None or offer[0] < best[0]):
+                best = offer
         if best is None:
             return places_lib.NoRoom()
         _, candidate, victim = best
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -9,7 +9,6 @@
 
 from _dogwoodhinge.fleet import choice
 from _dogwoodhinge.fleet import engines as engines_lib
-from _dogwoodhinge.fleet import long_prompts
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import owner as owner_lib
 from _dogwoodhinge.fleet import owner_link as owner_link_lib
@@ -142,21 +141,14 @@
                 "no_engine", retry_after=RETRY_WITHOUT_ENGINE
             )
         if not key.adapter:
-            return self._any_with_model(
-                engines, key.model, want.prompt_tokens, now
-            )
+            return self._any_with_model(engines, key.model, now)
         holders = self._usable_holders(
             service, key, want.version, want.avoid, now
         )
         if holders and not want.absent_from:
-            fits = self._fitting(engines, want.prompt_tokens, now)
-            fitting = [found for found in holders if found[0] in fits]
-            if fitting:
-                crowded = self._crowded(engines, fitting)
-            else:
-                crowded = frozenset(engine.engine_id for engine, _ in holders)
+            crowded = self._crowded(engines, holders)
             if not crowded:
-                return await self._use_holder(fitting, key, want.version, now)
+                return await self._use_holder(holders, key, want.version, now)
             copy = dataclasses.replace(
                 want, avoid=want.avoid | crowded, patience_seconds=0.0
             )
@@ -188,16 +180,6 @@
             and (doubtful or not engine.health.to_be_avoided(now))
         ]
 
-    def _fitting(
-        self, engines: list[engines_lib.Engine], prompt_tokens: int, now: float
-    ) -> list[engines_lib.Engine]:
-        """Returns the engines for prompts of this length."""
-        if not long_prompts.is_long(prompt_tokens):
-            return engines
-        sound = [e for e in engines if not e.health.to_be_avoided(now)]
-        apart = long_prompts.engines_apart(e.engine_id for e in sound)
-        return [e for e in sound if e.engine_id in apart] or engines
-
     def _crowded(
         self,
         engines: list[engines_lib.Engine],
@@ -236,15 +218,10 @@
         return Found(engine=engine, version=version or None, found_by="held")
 
     def _any_with_model(
-        self,
-        engines: list[engines_lib.Engine],
-        model: str,
-        prompt_tokens: int,
-        now: float,
+        self, engines: list[engines_lib.Engine], model: str, now: float
     ) -> "Found | errors.RefusedError":
-        holders = [e for e in engines if e.holds_model(model)]
         engine = choice.choose(
-            self._fitting(holders, prompt_tokens, now),
+            [e for e in engines if e.holds_model(model)],
             zone=self.zone,
             now=now,
             draw=self.draw,
