--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/shared_sends.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/shared_sends.py
@@ -49,9 +49,10 @@
 
     def note_requests(self, service: str, count: int, now: float) -> None:
         """Counts requests that a node has reported."""
-        self.requests.setdefault(service, collections.deque()).append(
-            (now, count)
-        )
+        reported = self.requests.setdefault(service, collections.deque())
+        while reported and reported[0][0] <= now - self.window:
+            reported.popleft()
+        reported.append((now, count))
 
     def take(self, service: str, now: float) -> bool:
         """Takes one second send from the shared part, if there is one."""
@@ -59,10 +60,8 @@
         granted = self.granted.setdefault(service, collections.deque())
         while granted and granted[0] <= begin:
             granted.popleft()
-        reported = self.requests.get(service, collections.deque())
-        while reported and reported[0][0] <= begin:
-            reported.popleft()
-        requests = sum(count for _, count in reported)
+        reported = self.requests.get(service, ())
+        requests = sum(count for at, count in reported if at > begin)
         allowed = self.ratio * RATIO_SHARED * requests
         if begin >= self.begun_at:
             allowed += self.extra * EXTRA_SHARED
--- a/packages/dogwoodhinge/testing/fleet/test_shared_sends.py
+++ b/packages/dogwoodhinge/testing/fleet/test_shared_sends.py
@@ -58,3 +58,11 @@
     shared.note_requests("app", 100, 20.0)
     assert not shared.take("llm", 20.0)
     assert shared.take("app", 20.0)
+
+
+def test_reports_are_forgotten_also_when_nobody_asks() -> None:
+    """Tens of nodes report some times a second, for weeks."""
+    shared = make()
+    for step in range(1_000):
+        shared.note_requests("app", 1, step * 0.1)
+    assert len(shared.requests["app"]) <= 101
