A start of the process is no longer taken for the end of an outage

Ruled out: the owner's word (the other nodes dropped it within 0.6 s).

Change: withdrawn entries are kept only after an outage of 2 s or more, in which entries can lapse. Test: both cases of test_withdrawal_counts_at_once_unless_entries_may_have_lapsed failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -18,6 +18,10 @@
 # seconds of its return.
 RETURN_TIME = datetime.timedelta(seconds=2.2)
 
+# Entries lapse after three heartbeats without a word, each a second or so: a
+# shorter outage, or the start of this process, has made none lapse.
+LEAST_OUTAGE = datetime.timedelta(seconds=2.0)
+
 
 @final
 class EndpointListing:
@@ -111,7 +115,8 @@
             away: seconds without an answer.
         """
         if not self.source_well:
-            self.back_at = self._now()
+            if away >= LEAST_OUTAGE.total_seconds():
+                self.back_at = self._now()
             self.report("endpoint_list_back", {"away_ms": int(away * 1000)})
         self.source_well = True
 
--- a/packages/dogwoodhinge/testing/fleet/test_beliefs.py
+++ b/packages/dogwoodhinge/testing/fleet/test_beliefs.py
@@ -67,6 +67,20 @@
     assert found.directory.serving("llm") == []
 
 
+@pytest.mark.parametrize("away", [0.0, 1.5], ids=["start", "short outage"])
+async def test_withdrawal_counts_at_once_unless_entries_may_have_lapsed(
+    away: float,
+) -> None:
+    """DRAIN: a node that had just started kept it for 2.7 s."""
+    found = listing.EndpointListing(
+        directory=engines.Directory(), report=lambda event, fields: None
+    )
+    found.source_back(away)
+    found.replace_all([entry()])
+    found.withdraw("e1")
+    assert found.directory.serving("llm") == []
+
+
 async def test_late_entry_of_an_engine_that_left_brings_no_work() -> None:
     found = make_listing()
     found.update(entry(leaving=True))
