An engine's penalty is worked out once a choice

Two tests of the shared budget built their nodes with the same loop; make_nodes does it now, assertions unchanged.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -390,7 +390,9 @@
         for engine in self._model_engines():
             engine_class = self._class_of(engine)
             penalty = self._penalty(engine, now)
-            if engine_class is None or self._why_unusable(engine, model, now):
+            if engine_class is None or self._why_unusable(
+                engine, model, penalty
+            ):
                 continue
             found.append(
                 places_lib.Candidate(
@@ -404,7 +406,7 @@
         return found
 
     def _why_unusable(
-        self, engine: engines_lib.Engine, model: str, now: float
+        self, engine: engines_lib.Engine, model: str, penalty: float
     ) -> str:
         """Tells why an engine can load no adapter; empty when it can."""
         line = self.loader.lines.get(engine.engine_id)
@@ -412,7 +414,7 @@
             return "state_unread"
         if not engine.holds_model(model):
             return "without_model"
-        if self._penalty(engine, now) > health_lib.AVOID_ABOVE:
+        if penalty > health_lib.AVOID_ABOVE:
             return "failing"
         return ""
 
@@ -426,7 +428,8 @@
     def _count_engines(self, model: str, now: float) -> dict[str, int]:
         """Returns how many engines can load adapters, or why they can't."""
         return collections.Counter(
-            self._why_unusable(engine, model, now) or "usable"
+            self._why_unusable(engine, model, self._penalty(engine, now))
+            or "usable"
             for engine in self._model_engines()
         )
 
--- a/packages/dogwoodhinge/testing/gateway/test_second_sends.py
+++ b/packages/dogwoodhinge/testing/gateway/test_second_sends.py
@@ -93,40 +93,34 @@
     assert await budget.take("llm", 0.0)
 
 
-def make_nodes(
-    shared: shared_sends.SharedSends, count: int
-) -> list[second_sends.SecondSends]:
-    """Returns the budgets of nodes that ask one owner."""
+def make_nodes(count: int, *, requests: int) -> list[second_sends.SecondSends]:
+    """Returns the budgets of nodes that ask one owner.
+
+    Args:
+        count: of nodes.
+        requests: that each of them has received, and told the owner.
+    """
+    shared = shared_sends.SharedSends(ratio=0.2, extra=206, window=WINDOW)
 
     async def ask(service: str) -> bool:
         return shared.take(service, 20.0)
 
-    return [make(extra=206, nodes=count, ask=ask) for _ in range(count)]
-
-
-def make_shared(*, extra: float = 206.0) -> shared_sends.SharedSends:
-    """Returns what nodes share, after some time of the owner's."""
-    return shared_sends.SharedSends(ratio=0.2, extra=extra, window=WINDOW)
+    nodes = [make(extra=206, nodes=count, ask=ask) for _ in range(count)]
+    for node in nodes:
+        for _ in range(requests):
+            node.note_request("app", 20.0)
+        shared.note_requests("app", node.unreported["app"], 20.0)
+    return nodes
 
 
 async def test_node_whose_engine_fails_uses_what_others_leave() -> None:
     """One in 83 meets ten failures; it had two sends of its own."""
-    shared = make_shared()
-    nodes = make_nodes(shared, 83)
-    for node in nodes:
-        for _ in range(5):
-            node.note_request("app", 20.0)
-        shared.note_requests("app", node.unreported["app"], 20.0)
+    nodes = make_nodes(83, requests=5)
     taken = [await nodes[0].take("app", 20.0) for _ in range(10)]
     assert all(taken)
 
 
 async def test_own_and_shared_parts_keep_to_the_budget() -> None:
-    shared = make_shared()
-    nodes = make_nodes(shared, 83)
-    for node in nodes:
-        for _ in range(30):
-            node.note_request("app", 20.0)
-        shared.note_requests("app", node.unreported["app"], 20.0)
+    nodes = make_nodes(83, requests=30)
     total = sum([await spend(node, 20.0) for node in nodes])
     assert 0.6 * (0.2 * 30 * 83 + 206) < total <= 0.2 * 30 * 83 + 206
