A request that arrived as the node began to leave is answered

Ruled out: requests that cross the close unread (nobody passes them on), those that are being served (they are not idle).

Change: connections with received bytes are spared and answered with Connection: close; a request whose connection has ended is not run at all. Also found on the way: a node was quiet, and ended, while a body was still arriving, and before slow callers had taken what was queued for them.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -59,6 +59,7 @@
         self.idle_since = 0.0
         self.unparsed = 0
         self._eof_fed = False
+        self._ended = asyncio.Event()
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -102,6 +103,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notes the end of the connection."""
         self.reset = self.reset or (exc is not None and not self.eof)
+        self._ended.set()
         self._mark_lost()
 
     def pause_writing(self) -> None:
@@ -159,6 +161,11 @@
         if self.transport is None or self.transport.is_closing():
             raise errors.ConnectionLostError("the connection has ended")
 
+    async def wait_until_sent(self) -> None:
+        """Waits until a closed connection has sent what was queued."""
+        if not self.all_sent:
+            await self._ended.wait()
+
     def start_next_message(self) -> bool:
         """Makes ready for another request; False when there can be none."""
         if self.lost.is_set() or self.parser.our_state is not h11.DONE:
@@ -209,8 +216,8 @@
     def all_sent(self) -> bool:
         """Tells whether the kernel has taken everything that was sent."""
         return (
-            self.transport is not None
-            and self.transport.get_write_buffer_size() == 0
+            self.transport is None
+            or self.transport.get_write_buffer_size() == 0
         )
 
     def close(self) -> None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -6,6 +6,7 @@
 import datetime
 import traceback
 from typing import final
+import weakref
 
 import h11
 
@@ -149,7 +150,8 @@
     Attributes:
         limits: read anew for each request.
         leaving: answers carry `Connection: close`, idle connections end.
-        active: requests being served.
+        active: requests being read or served.
+        connections: also those that are closed and not sent whole.
         quiet: set while there are none.
     """
 
@@ -169,6 +171,9 @@
         self.quiet.set()
         self.buffered_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.connections: weakref.WeakSet[connection_lib.Connection] = (
+            weakref.WeakSet()
+        )
         self.idle: set[connection_lib.Connection] = set()
         self.listener: asyncio.Server | None = None
 
@@ -184,9 +189,19 @@
         self.leaving.set()
 
     def close_idle(self) -> None:
-        """Closes the connections on which no request is under way."""
+        """Closes the connections on which no request is under way.
+
+        One whose request has arrived, though its task has not seen it yet, is
+        spared: its answer says that it ends.
+        """
         for connection in tuple(self.idle):
-            connection.close()
+            if not connection.received_while_idle:
+                connection.close()
+
+    async def wait_until_sent(self) -> None:
+        """Waits until the kernel has taken all that was answered."""
+        for found in tuple(self.connections):
+            await found.wait_until_sent()
 
     def stop_accepting(self) -> None:
         """Closes the listening socket."""
@@ -204,6 +219,7 @@
         connection = connection_lib.Connection(
             role=h11.SERVER, max_head_bytes=self.limits().head_bytes
         )
+        self.connections.add(connection)
         task = asyncio.get_running_loop().create_task(self._serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -235,13 +251,38 @@
             connection.close()
 
     async def _serve_one(self, connection: connection_lib.Connection) -> bool:
-        request = await self._read_request(connection)
+        limits = self.limits()
+        try:
+            head = await self._read_head(connection, limits)
+        except errors.ProtocolError as error:
+            await self._reject(connection, error.status)
+            return False
+        if head is None:
+            return False
+        self.active += 1
+        self.quiet.clear()
+        try:
+            return await self._serve_request(connection, head, limits)
+        finally:
+            self.active -= 1
+            if not self.active:
+                self.quiet.set()
+
+    async def _serve_request(
+        self,
+        connection: connection_lib.Connection,
+        head: h11.Request,
+        limits: Limits,
+    ) -> bool:
+        request = await self._read_request(connection, head, limits)
         if request is None:
             return False
+        if connection.lost.is_set():
+            # Its answer could reach nobody, so it must not run.
+            self.buffered_bytes -= len(request.body)
+            return False
         reply = Reply(connection, close_after=self.leaving.is_set())
         task = asyncio.current_task()
-        self.active += 1
-        self.quiet.clear()
         connection.cancel_when_lost(task)
         try:
             await self.handler(request, reply)
@@ -253,9 +294,6 @@
             return False
         finally:
             connection.cancel_when_lost(None)
-            self.active -= 1
-            if not self.active:
-                self.quiet.set()
             self.buffered_bytes -= len(request.body)
         if not reply.finished:
             reply.break_off()
@@ -265,14 +303,13 @@
         return connection.start_next_message()
 
     async def _read_request(
-        self, connection: connection_lib.Connection
+        self,
+        connection: connection_lib.Connection,
+        head: h11.Request,
+        limits: Limits,
     ) -> RawRequest | None:
-        limits = self.limits()
+        received_at = asyncio.get_running_loop().time()
         try:
-            head = await self._read_head(connection, limits)
-            if head is None:
-                return None
-            received_at = asyncio.get_running_loop().time()
             _check_framing(head)
             body = await self._read_body(connection, head, limits)
         except errors.ProtocolError as error:
