Engines that left while a request waited get nothing more

Found by reading: - A request chooses its engine, then waits for the load of its adapter, and was sent without another look whether the engine had left meanwhile. - After an outage of the store, removed entries are kept for 2.2 s. They were ended with the next answer only, up to 1.1 s later, and told after that: 2.2 + 1.1 + 0.4 s is what was seen. - Entries written after the return, and then removed, were kept as well.

Change: an engine is looked at again right before a send; what is due is read for at that time; what was written after the return counts at once. Found on the way: a holder that was forgotten while the owner was asked ended its request with an internal error.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -73,6 +73,11 @@
         self.health = health_lib.EngineHealth()
         self.holdings: dict[models.AdapterKey, Holding] = {}
 
+    @property
+    def takes_work(self) -> bool:
+        """Tells whether requests may be sent to it."""
+        return self.listed and not self.leaving
+
     @property
     def engine_id(self) -> str:
         """The id under which requests are addressed to it."""
@@ -102,6 +107,8 @@
         """Takes an endpoint's entry from the list."""
         known = self.engines.get(entry.engine_id)
         if known is None or known.entry.incarnation != entry.incarnation:
+            if known is not None:
+                known.listed = False
             known = Engine(entry)
             self.engines[entry.engine_id] = known
             self._take_holdings(known, now)
@@ -112,7 +119,10 @@
 
     def remove(self, engine_id: str) -> Engine | None:
         """Takes an endpoint off the list."""
-        return self.engines.pop(engine_id, None)
+        found = self.engines.pop(engine_id, None)
+        if found is not None:
+            found.listed = False
+        return found
 
     def serving(self, service: str) -> list[Engine]:
         """Returns the endpoints of a service that take new work."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -2,12 +2,14 @@
 
 Load pattern: the platform's store goes away for seconds while callers press.
 Entries that lapse meanwhile say nothing about their endpoints, so they are
-kept; one that is still missing some time after the store's return is gone.
+kept; one that is still missing some time after the store's return is gone. One
+that was written after the return and removed then has left, and counts at once.
 """
 
 import asyncio
 from collections.abc import Callable, Iterable
 import datetime
+import math
 from typing import final
 
 from _dogwoodhinge import event_log
@@ -29,6 +31,9 @@
 
     Attributes:
         on_gone: called with each endpoint that is no longer used.
+        missing: endpoints that may come back, until a loop time.
+        written: endpoints whose entries were written since the last return.
+        answers: answers of the source since then.
         changes: endpoints that came, left or went so far; what they hold
             does not count.
     """
@@ -42,6 +47,8 @@
         self.source_well = False
         self.back_at = 0.0
         self.missing: dict[str, float] = {}
+        self.written: set[str] = set()
+        self.answers = 0
         self.departed: set[tuple[str, int]] = set()
         self.changes = 0
 
@@ -49,6 +56,9 @@
         """Takes a new or changed entry."""
         now = self._now()
         self.missing.pop(entry.engine_id, None)
+        if self.answers > 1:
+            # The first answer also has what was written before the outage.
+            self.written.add(entry.engine_id)
         before = self.directory.engines.get(entry.engine_id)
         was_leaving = before is not None and before.leaving
         restarted = (
@@ -80,11 +90,13 @@
     def withdraw(self, engine_id: str) -> None:
         """Takes the removal of an entry."""
         now = self._now()
-        rest = self.back_at + RETURN_TIME.total_seconds() - now
-        if rest > 0 and engine_id in self.directory.engines:
-            self.missing.setdefault(
-                engine_id, self.back_at + RETURN_TIME.total_seconds()
-            )
+        until = self.back_at + RETURN_TIME.total_seconds()
+        if (
+            now < until
+            and engine_id not in self.written
+            and engine_id in self.directory.engines
+        ):
+            self.missing.setdefault(engine_id, until)
             return
         self._remove(engine_id, "withdrawn")
 
@@ -117,8 +129,15 @@
         if not self.source_well:
             if away >= LEAST_OUTAGE.total_seconds():
                 self.back_at = self._now()
+                self.written.clear()
+                self.answers = 0
             self.report("endpoint_list_back", {"away_ms": int(away * 1000)})
         self.source_well = True
+        self.answers += 1
+
+    def due_at(self) -> float:
+        """Returns the loop time at which a missing endpoint is to end."""
+        return min(self.missing.values(), default=math.inf)
 
     def drop_missing(self) -> None:
         """Ends the entries that did not come back."""
@@ -129,6 +148,7 @@
                 self._remove(engine_id, "not_back_after_outage")
 
     def _remove(self, engine_id: str, why: str) -> None:
+        self.written.discard(engine_id)
         engine = self.directory.remove(engine_id)
         if engine is None:
             return
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/seats.py
@@ -154,7 +154,14 @@
             )
             try:
                 return await self._place(service, copy)
-            except errors.RefusedError:
+            except errors.RefusedError as error:
+                # Asking takes time, in which holders may come and go.
+                now = asyncio.get_running_loop().time()
+                holders = self._usable_holders(
+                    service, key, want.version, want.avoid, now
+                )
+                if not holders:
+                    return error
                 return await self._use_holder(holders, key, want.version, now)
         try:
             return await self._place(service, want)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -78,6 +78,18 @@
         engine.health.note_failure(health_lib.Failure.BROKEN_ANSWER, now)
 
 
+def _check_takes_work(engine: engines_lib.Engine) -> None:
+    """Rejects an engine that left since it was chosen.
+
+    Raises:
+        NotRunError: it takes no more work.
+    """
+    if not engine.takes_work:
+        raise errors.NotRunError(
+            f"{engine.engine_id} left before it was asked", unreachable=True
+        )
+
+
 @final
 class Line:
     """The connections to one incarnation of an engine.
@@ -215,6 +227,7 @@
             OutcomeUnknownError: it may have run.
         """
         now = asyncio.get_running_loop().time()
+        _check_takes_work(engine)
         line = self._line(engine, now)
         try:
             connection = await line.pool.acquire(fresh_only=not repeatable)
@@ -224,6 +237,7 @@
             engine.health.note_failure(self._connect_failure(line), now)
             raise errors.NotRunError(str(error), unreachable=True) from error
         try:
+            _check_takes_work(engine)
             return await self._exchange(
                 engine, line, connection, request, demand, may_leave
             )
--- a/packages/dogwoodhinge/testing/fleet/test_beliefs.py
+++ b/packages/dogwoodhinge/testing/fleet/test_beliefs.py
@@ -128,6 +128,42 @@
     assert found.directory.serving("llm") == []
 
 
+async def test_entry_written_after_the_return_and_removed_has_left() -> None:
+    """DRAIN: it was kept as long as entries that lapsed in the outage."""
+    found = make_listing()
+    found.update(entry())
+    found.source_lost("down")
+    found.source_back(5.0)
+    found.update(entry())
+    found.source_back(0.1)
+    found.update(entry())
+    found.withdraw("e1")
+    assert found.directory.serving("llm") == []
+
+
+async def test_entry_written_before_an_outage_only_may_come_back() -> None:
+    """The first answer after it also has what was written before."""
+    found = make_listing()
+    found.update(entry())
+    found.source_lost("down")
+    found.source_back(5.0)
+    found.update(entry())
+    found.source_back(0.1)
+    found.withdraw("e1")
+    assert len(found.directory.serving("llm")) == 1
+    assert found.due_at() == found.back_at + 2.2
+
+
+async def test_engine_off_the_list_takes_no_work() -> None:
+    """DRAIN: a request that had chosen it before was sent all the same."""
+    found = make_listing()
+    found.update(entry())
+    engine = found.directory.engines["e1"]
+    assert engine.takes_work
+    found.withdraw("e1")
+    assert not engine.takes_work
+
+
 async def test_entry_that_returns_after_an_outage_holds() -> None:
     found = make_listing()
     found.update(entry())
