--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -245,6 +245,9 @@
 
         The list of endpoints may be older than an order whose answer was lost
         or that the owner before gave; a second model may be too much.
+
+        Raises:
+            OrderFailedError: its state has to be read anew.
         """
         try:
             found = await self.orders.report(line.entry)
@@ -253,10 +256,9 @@
                 "engine_state_unread",
                 {"engine": line.entry.engine_id, "reason": str(error)},
             )
-            line.in_doubt = True
-            return False
+            raise OrderFailedError("the engine's state is not known") from error
         if found.orders_accepted != line.orders_accepted:
-            line.in_doubt = True
+            raise OrderFailedError("the engine has accepted other orders")
         return found.busy or bool(found.models)
 
     async def _make_way(self, line: EngineLine, key: models.AdapterKey) -> None:
