A randomized soak of real programs

Nodes run as processes on loopback, with a store and engines that misbehave: relays that delay, silence, cut one way and reset; signals that end, pause, kill and reload; engines that crash, leave with and without a word and start empty; an unreachable store and lost answers; new configurations. All from a seed, overlapping. Callers keep their connections. What callers and engines saw is checked (foreign, doubled, refused, lost, late and broken answers, leaving engines, orders of two holders, full engines), then whether callers are served again. The checks are tested with broken records.

Connections between nodes and clocks are not disturbed.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 SOURCES := packages platform tools
 DEMO_SECONDS ?= 5
 FAULTS ?= --core
+SEED ?= 1
+MINUTES ?= 0.5
 
-.PHONY: venv test test-platform replay demo format lint types check faults measure slopes footprint times proto
+.PHONY: venv test test-platform soak replay demo format lint types check faults measure slopes footprint times proto
 
 venv: $(VENV)/.installed
 
@@ -25,6 +27,10 @@
 test-platform: venv
 	cd platform && $(abspath $(BIN))/python -m pytest
 
+# Real programs under random faults; fresh seeds find more than kept ones.
+soak: venv
+	cd platform/testing && $(abspath $(BIN))/python soak.py --seed=$(SEED) --minutes=$(MINUTES)
+
 demo: venv
 	$(BIN)/python -m dogwoodhinge_lab.demo --demo_seconds=$(DEMO_SECONDS)
 
