An engine that leaves while it is ordered is no place

The wish was never answered, so its request waited until the call to the owner timed out (0.9 s).

Change: such a wish is told that there is no place, and asks again. Test: test_engine_that_leaves_while_it_is_ordered_is_no_place failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/owner.py
@@ -191,7 +191,11 @@
             if line is not None and line.in_doubt:
                 self._read_soon(seat.engine_id)
             raise place_line_lib.NoRoomError(RETRY_SOON) from error
-        place = self.placement.engines[seat.engine_id].places.get(key)
+        engine = self.placement.engines.get(seat.engine_id)
+        if engine is None:
+            # It left while the order was on its way.
+            raise place_line_lib.NoRoomError(RETRY_SOON)
+        place = engine.places.get(key)
         ready_at = seat.ready_at if place is None else place.ready_at
         self.report(
             "adapter_load_ordered",
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -262,6 +262,20 @@
     assert KEY not in node.owner.placement.engines["e1"].places
 
 
+async def test_engine_that_leaves_while_it_is_ordered_is_no_place(
+    node: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its requests waited until their call timed out."""
+    await knows_engine(node)
+
+    async def leave(seat: places_lib.Seat, key: models.AdapterKey) -> None:
+        node.owner.placement.drop_engine(seat.engine_id, 0.0)
+
+    monkeypatch.setattr(node.owner.loader, "load", leave)
+    with pytest.raises(place_line.NoRoomError):
+        await node.owner.place(places_lib.Want(key=KEY, version=0))
+
+
 async def test_engine_without_a_base_model_gets_one(
     table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
 ) -> None:
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -449,9 +449,7 @@
     assert isinstance(found, places_lib.NoRoom)
 
 
-def test_load_that_was_not_from_memory_is_waited_for_as_one_from_the_store() -> (
-    None
-):
+def test_load_not_from_memory_is_waited_for_as_one_from_the_store() -> None:
     """Its requests were sent four times within 0.2 s, and then refused."""
     placement = make("e1", in_memory=(1,))
     seat = find(placement, 1, candidate("e1"), now=0.0)
