Nodes without an owner look when the right can be taken, and speak to the next one

Load pattern: the owner dies.

Ruled out: the owner's start (80 ms from the row to placement), the distance that orders of two holders must keep (a rule).

Change: the row is read when it may be taken over, spread by 0.25 s, and by the others just after that; the next owner is spoken to at once.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 import datetime
+import random
 from typing import final
 
 import mode
@@ -35,6 +36,10 @@
 # over last read less often where there are many.
 LOOK_EVERY = datetime.timedelta(milliseconds=500)
 
+# The row is read when it may be taken over, spread out by this much, so that
+# the first node to take it is seen by most others at their first read.
+TAKE_SPREAD = datetime.timedelta(milliseconds=250)
+
 # Failed exchanges after which the row is read.
 FAILURES_BEFORE_LOOK = 1
 
@@ -112,9 +117,11 @@
         lease: order_lease_lib.OrderLease,
         link: owner_link_lib.OwnerLink,
         uses: UseCounter,
+        draw: random.Random,
         report: event_log.Report,
     ) -> None:
         super().__init__()
+        self.draw = draw
         self.lease = lease
         self.link = link
         self.uses = uses
@@ -156,7 +163,10 @@
     async def _exchange_step(self) -> float:
         await self._exchange_once()
         if not self._is_led():
+            before = self.link.address()
             await self._look()
+            if self.link.address() not in ("", before):
+                return 0.0
         return self._pause()
 
     def _is_led(self) -> bool:
@@ -172,12 +182,23 @@
         if not self._is_led():
             if not self.lease.reluctance:
                 scale = 1.0
-            return LOOK_EVERY.total_seconds() * scale
+            return self._pause_of_look(LOOK_EVERY.total_seconds() * scale)
         now = asyncio.get_running_loop().time()
         short = now - self.link.no_room_at < SHORT_FOR.total_seconds()
         pause = SYNC_WHEN_SHORT if short else SYNC_EVERY
         return pause.total_seconds() * scale
 
+    def _pause_of_look(self, longest: float) -> float:
+        """Returns the seconds until the row is to be read again."""
+        rest = self.lease.seconds_to_free()
+        if not 0 < rest < longest:
+            return longest
+        spread = TAKE_SPREAD.total_seconds()
+        if self.lease.reluctance:
+            # Another node comes first; this one only has to see it.
+            rest += spread
+        return rest + self.draw.uniform(0, spread)
+
     async def _exchange_once(self) -> None:
         if not self.link.address():
             self.failures = FAILURES_BEFORE_LOOK
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
@@ -16,6 +16,7 @@
 
 import dataclasses
 import datetime
+import math
 import time
 from typing import Protocol, final
 
@@ -203,17 +204,25 @@
         await self.table.write(record, revision=self.revision)
         self.report("order_lease_given_up", {"token": self.record.token})
 
+    def seconds_to_free(self) -> float:
+        """Returns when another node may take the row over, if it stands still.
+
+        Negative once that time is over; infinite while the row is not known.
+        """
+        if self.record is None:
+            return math.inf
+        wait = (
+            self.takeover_after if self.record.address else self.after_give_up
+        )
+        return self.seen_since + wait.total_seconds() - self.clock.elapsed()
+
     def _is_free(self) -> bool:
-        now = self.clock.elapsed()
         reluctance = self.reluctance.total_seconds()
         if self.record is None:
-            return now - self.started_at >= reluctance
+            return self.clock.elapsed() - self.started_at >= reluctance
         if self.record.node == self.node:
             return True
-        wait = (
-            self.takeover_after if self.record.address else self.after_give_up
-        )
-        return now - self.seen_since > wait.total_seconds() + reluctance
+        return self.seconds_to_free() + reluctance < 0
 
     async def _write(self, token: int, change: str) -> bool:
         record = Record(node=self.node, address=self.address, token=token)
--- a/packages/dogwoodhinge/testing/fleet/test_owner.py
+++ b/packages/dogwoodhinge/testing/fleet/test_owner.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 import dataclasses
 import datetime
+import random
 import socket
 
 from grpclib import server as grpc_server
@@ -156,7 +157,11 @@
         active={}, begun=begun, requests=requests, directory=directory
     )
     member = membership.Membership(
-        lease=lease, link=link, uses=uses, report=report
+        lease=lease,
+        link=link,
+        uses=uses,
+        draw=random.Random(1),
+        report=report,
     )
     server = grpc_server.Server([local])
     return Node(
