A stream that pauses stays at its engine until another one has a place for it

An engine's silence is no reason to end an answer sooner; another engine that serves was reason enough to leave, with or without a place.

Change: while a stream pauses, a place is looked for first, and the engine is left once there is one; if it goes on meanwhile, it is kept. Test: test_stream_that_pauses_is_kept_while_no_other_engine_has_a_place failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -1,7 +1,7 @@
 """Sends a request to one engine once, and tells apart what came of it."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 import datetime
 from typing import final
 
@@ -143,14 +143,14 @@
         self,
         *,
         silence_limit: datetime.timedelta | None = None,
-        may_leave: Callable[[], bool] = lambda: True,
+        may_leave: Callable[[], Awaitable[bool]] | None = None,
     ) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
         Args:
             silence_limit: the longest pause; None for any.
-            may_leave: asked after a pause; while it says no, the engine is
-                waited for.
+            may_leave: asked after a pause, while the engine is waited for;
+                None when it may be left at once.
 
         Raises:
             BrokenAnswerError: it ended early.
@@ -165,7 +165,7 @@
                 async with asyncio.timeout(limit):
                     event = await self.connection.next_event()
             except TimeoutError as error:
-                if not may_leave():
+                if may_leave is not None and await self._goes_on(may_leave()):
                     continue
                 raise SilentEngineError("the engine fell silent") from error
             except http_errors.HttpError as error:
@@ -179,6 +179,20 @@
             else:
                 raise BrokenAnswerError("the answer ended early")
 
+    async def _goes_on(self, leaving: Awaitable[bool]) -> bool:
+        """Waits for bytes, or for the word that the engine may be left."""
+        asking = asyncio.ensure_future(leaving)
+        reading = asyncio.ensure_future(self.connection.wait_readable())
+        try:
+            await asyncio.wait(
+                {asking, reading}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return reading.done() or not asking.result()
+        finally:
+            for task in (asking, reading):
+                task.cancel()
+            await asyncio.gather(asking, reading, return_exceptions=True)
+
     def close(self) -> None:
         """Keeps the connection if the answer was read whole."""
         if self.complete and not self.head.closing:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import datetime
 from typing import final
 
@@ -168,7 +168,10 @@
             try:
                 unread.end()
                 await relay.pass_on(
-                    opened, may_leave=lambda: self._may_leave(call, engine)
+                    opened,
+                    may_leave=lambda: self._has_place_elsewhere(
+                        call, relay, engine
+                    ),
                 )
             finally:
                 opened.close()
@@ -208,6 +211,23 @@
             and self.budget.left(call.service, now) >= 1
         )
 
+    async def _has_place_elsewhere(
+        self, call: call_lib.Call, relay: "Relay", engine: engines_lib.Engine
+    ) -> bool:
+        """Tells whether a stream that pauses can go on at another engine.
+
+        Its own engine may have set it aside for more urgent requests; to leave
+        it for nothing would end the stream sooner than need be.
+        """
+        if not self._may_leave(call, engine):
+            return False
+        try:
+            await self._find(call, relay, absent_from="")
+        except errors.RefusedError as error:
+            call.note(f"kept {engine.engine_id}: {error.reason}")
+            return False
+        return True
+
 
 def urgency(prompt_tokens: int, *, time_to_target: float) -> int:
     """Returns the urgency of a request at its engine.
@@ -260,7 +280,7 @@
         self,
         opened: sender_lib.OpenAnswer,
         *,
-        may_leave: Callable[[], bool],
+        may_leave: Callable[[], Awaitable[bool]],
     ) -> None:
         """Passes one engine's answer on.
 
@@ -295,7 +315,9 @@
         )
 
     async def _pass_events(
-        self, opened: sender_lib.OpenAnswer, may_leave: Callable[[], bool]
+        self,
+        opened: sender_lib.OpenAnswer,
+        may_leave: Callable[[], Awaitable[bool]],
     ) -> None:
         splitter = event_stream.EventSplitter()
         chunks = opened.chunks(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -141,6 +141,10 @@
             self._resume_reading()
             await self._readable.wait()
 
+    async def wait_readable(self) -> None:
+        """Waits until bytes arrive or the connection ends."""
+        await self._readable.wait()
+
     def send(self, *events: h11.Event) -> None:
         """Queues events for sending; `drain` waits until there is room.
 
