dogwoodctl shows a fleet by what its platform keeps

Status, engines, placement and the check of a configuration were asked for and missing on the platform's path: an operator had logs and metrics only. It registers in a group of its own, so that nodes do not load it.

Not tried against a running site.

--- a/packages/dogwoodctl/src/_dogwoodctl/commands.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/commands.py
@@ -6,6 +6,7 @@
 
 from _dogwoodctl import contracts
 from _dogwoodctl import errors
+from _dogwoodctl import fleet
 from _dogwoodctl import inspection
 from _dogwoodctl import keys
 from _dogwoodctl import log_explanation
@@ -51,6 +52,10 @@
         log_explanation.explain_log,
         needs_key=False,
     ),
+    Command("fleet status", "", fleet.status, needs_key=False),
+    Command("fleet engines", "", fleet.engines, needs_key=False),
+    Command("fleet placement", "", fleet.placement, needs_key=False),
+    Command("fleet check", "FILE", fleet.check, needs_key=False),
     Command("key hash", "", keys.hash_key, needs_key=False),
 )
 
--- a/packages/dogwoodctl/src/_dogwoodctl/settings.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/settings.py
@@ -28,6 +28,11 @@
         min_length=1,
         description="operator URLs of nodes, by commas; tried in turn",
     )
+    fleet_url: str = pydantic.Field(
+        default="store://127.0.0.1:8142",
+        description="fleet commands: what the fleet's platform keeps, in the "
+        "form that its plug-in takes",
+    )
     key_file: str = pydantic.Field(
         default="",
         description="file with the operator key; or the variable "
--- a/packages/dogwoodhinge/src/_dogwoodhinge/kernel.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/kernel.py
@@ -15,6 +15,9 @@
 
 ENTRY_POINT_GROUP = "dogwoodhinge.plugins"
 
+# Kept apart, so that nodes do not load what they never use.
+OPERATOR_ENTRY_POINT_GROUP = "dogwoodctl.plugins"
+
 BUILT_IN_PLUGINS = (
     "_dogwoodhinge.platform.dynamo_table",
     "_dogwoodhinge.platform.s3_objects",
@@ -49,6 +52,10 @@
         for name in modules:
             self.manager.register(_import_plugin(name), name)
 
+    def register_operator_tools(self) -> None:
+        """Registers the installed plug-ins that only dogwoodctl needs."""
+        self.manager.load_setuptools_entrypoints(OPERATOR_ENTRY_POINT_GROUP)
+
     def open_table(self, url: str) -> ports.TableService:
         """Opens the table service."""
         found = self.manager.hook.open_table(url=url, clock=self.clock)
@@ -73,6 +80,11 @@
         found = self.manager.hook.open_host_list(url=url, clock=self.clock)
         return _require(found, "list of hosts", "--host_list_url", url)
 
+    def open_fleet_view(self, url: str) -> ports.FleetView:
+        """Opens what a fleet's platform keeps."""
+        found = self.manager.hook.open_fleet_view(url=url)
+        return _require(found, "fleet", "--fleet_url", url)
+
     def open_engine(self, endpoint: models.Endpoint) -> ports.Engine:
         """Makes the client of an engine."""
         found = self.manager.hook.open_engine(
--- a/packages/dogwoodhinge/src/dogwoodhinge/hookspec.py
+++ b/packages/dogwoodhinge/src/dogwoodhinge/hookspec.py
@@ -39,6 +39,14 @@
     """Opens the list of hosts at `url` (`--host_list_url`)."""
 
 
+@hookspec(firstresult=True)
+def open_fleet_view(url: str) -> ports.FleetView | None:
+    """Opens what the platform at `url` keeps (`dogwoodctl --fleet_url`).
+
+    Plug-ins for it register in the group `dogwoodctl.plugins`.
+    """
+
+
 @hookspec(firstresult=True)
 def open_engine(
     endpoint: models.Endpoint, clock: ports.Clock
--- a/packages/dogwoodhinge/src/dogwoodhinge/models.py
+++ b/packages/dogwoodhinge/src/dogwoodhinge/models.py
@@ -1,5 +1,6 @@
 """Data that crosses the ports."""
 
+from collections.abc import Mapping
 import dataclasses
 import datetime
 import enum
@@ -289,3 +290,46 @@
     status: int
     body: bytes
     content_type: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FleetEndpoint:
+    """An engine or plain endpoint as a fleet's platform lists it.
+
+    Attributes:
+        leaving: takes no new work.
+        held: base models that it holds, each with its adapters as
+            `name@version`, as of its last word.
+    """
+
+    endpoint_id: str
+    service: str
+    zone: str
+    address: str
+    leaving: bool
+    held: Mapping[str, tuple[str, ...]]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FleetState:
+    """What a fleet's platform keeps, read at one time.
+
+    Attributes:
+        configuration: the operator's version; None before the first one.
+        routes: how many it has.
+        owner: the node that gives orders to engines; empty for none.
+        owner_address: where its peers reach it; empty once given up.
+        owner_token: the fencing token of its orders.
+        endpoints: in the order of their ids.
+        unreadable: keys of rows that can't be read, with the reason.
+    """
+
+    configuration: int | None
+    routes: int
+    owner: str
+    owner_address: str
+    owner_token: int
+    endpoints: tuple[FleetEndpoint, ...]
+    unreadable: Mapping[str, str]
--- a/packages/dogwoodhinge/src/dogwoodhinge/ports.py
+++ b/packages/dogwoodhinge/src/dogwoodhinge/ports.py
@@ -184,3 +184,20 @@
 
     async def close(self) -> None:
         """Closes the connections."""
+
+
+class FleetView(Protocol):
+    """Reads what a fleet's platform keeps, for its operators."""
+
+    async def read(self) -> models.FleetState:
+        """Reads everything once.
+
+        Raises:
+            TableUnavailableError: no answer.
+        """
+
+    def check_configuration(self, data: bytes) -> str:
+        """Returns what is wrong with a configuration; empty for nothing."""
+
+    async def close(self) -> None:
+        """Closes the connections."""
