Two holders of the order lease never have one token

Ruled out: lost answers of the store (the row was written once by each), the distance of their orders (3.3 s and more, 1.0 s asked for).

Change: a read takes the record over also when the revision is known. Test: test_token_rises_though_only_the_revision_was_told failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
@@ -262,6 +262,9 @@
 
     def _note(self, row: Row) -> None:
         if row.revision == self.revision:
+            if self.right_from is None:
+                # The holder may have told the revision, and not its token.
+                self.record = row.record
             return
         mine = row.record is not None and row.record == self.record
         if self.right_from is not None and not mine:
--- a/packages/dogwoodhinge/testing/fleet/test_membership.py
+++ b/packages/dogwoodhinge/testing/fleet/test_membership.py
@@ -114,3 +114,22 @@
     clock.seconds += 0.1
     pause = await found._exchange_step()  # noqa: SLF001
     assert pause == membership.LOOK_EVERY.total_seconds()
+
+
+async def test_token_rises_though_only_the_revision_was_told(
+    clock: fleet_fakes.FakeClock, table: fleet_fakes.FakeLeaseTable
+) -> None:
+    """ONE (soak, seed 602): two holders had one token.
+
+    The holder had restarted at the same address and taken the row anew; this
+    node knew the new revision from it, and the token from before.
+    """
+    lease = make(clock, table, reluctance=0.0).lease
+    await lease.refresh()
+    table.record = order_lease.Record(node="n2@h2", address="h2:1", token=5)
+    table.revision = 8
+    lease.note_seen(8)
+    clock.seconds += 60.0
+    assert await lease.try_take()
+    assert table.record is not None
+    assert table.record.token == 6
