Read again: one piece in place of several in the change's own code

- The lease's row: a read always takes the record over; what the last mend put in front as a case of its own is the rule.
Only the time from which the row stands still hangs on its revision.
- A base model's order: the look at the engine's report is in the same `try` as the order, so that an engine that accepted other orders is logged as well; that was given up without a line.
A report that does not arrive is logged as `model_load_failed`.

No decision changes.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -211,18 +211,14 @@
             try:
                 if await self._has_model(line):
                     return True
-            except OrderFailedError:
-                line.in_doubt = True
-                return False
-            self.orders_sent += 1
-            try:
+                self.orders_sent += 1
                 reply = await self._send_once(
                     line,
                     orders_lib.Order(
                         orders_lib.Operation.LOAD, models.AdapterKey(model, "")
                     ),
                 )
-            except errors.EngineError as error:
+            except (errors.EngineError, OrderFailedError) as error:
                 line.in_doubt = True
                 self.report(
                     "model_load_failed",
@@ -247,16 +243,10 @@
         or that the owner before gave; a second model may be too much.
 
         Raises:
+            EngineError: no report arrived.
             OrderFailedError: its state has to be read anew.
         """
-        try:
-            found = await self.orders.report(line.entry)
-        except errors.EngineError as error:
-            self.report(
-                "engine_state_unread",
-                {"engine": line.entry.engine_id, "reason": str(error)},
-            )
-            raise OrderFailedError("the engine's state is not known") from error
+        found = await self.orders.report(line.entry)
         if found.orders_accepted != line.orders_accepted:
             raise OrderFailedError("the engine has accepted other orders")
         return found.busy or bool(found.models)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
@@ -261,11 +261,6 @@
         self.right_from = sent_at
 
     def _note(self, row: Row) -> None:
-        if row.revision == self.revision:
-            if self.right_from is None:
-                # The holder may have told the revision, and not its token.
-                self.record = row.record
-            return
         mine = row.record is not None and row.record == self.record
         if self.right_from is not None and not mine:
             self.right_from = None
@@ -273,6 +268,8 @@
                 "order_lease_lost",
                 {"holder": row.record.node if row.record else ""},
             )
+        # Also when the revision is known: the holder may have told only that.
         self.record = row.record
-        self.revision = row.revision
-        self.seen_since = self.clock.elapsed()
+        if row.revision != self.revision:
+            self.revision = row.revision
+            self.seen_since = self.clock.elapsed()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -277,14 +277,13 @@
         request = await self._read_request(connection, head, limits)
         if request is None:
             return False
-        if connection.lost.is_set():
-            # Its answer could reach nobody, so it must not run.
-            self.buffered_bytes -= len(request.body)
-            return False
         reply = Reply(connection, close_after=self.leaving.is_set())
         task = asyncio.current_task()
-        connection.cancel_when_lost(task)
         try:
+            if connection.lost.is_set():
+                # Its answer could reach nobody, so it must not run.
+                return False
+            connection.cancel_when_lost(task)
             await self.handler(request, reply)
         except asyncio.CancelledError:
             if not connection.lost.is_set():
--- a/packages/dogwoodhinge/testing/fleet/test_beliefs.py
+++ b/packages/dogwoodhinge/testing/fleet/test_beliefs.py
@@ -58,6 +58,15 @@
     return found
 
 
+def make_listing_after_outage() -> listing.EndpointListing:
+    """Returns a listing that knew an engine when its source went away."""
+    found = make_listing()
+    found.update(entry())
+    found.source_lost("down")
+    found.source_back(5.0)
+    return found
+
+
 async def test_leaving_engine_is_not_used_again() -> None:
     """A late entry may still say that it is ready."""
     found = make_listing()
@@ -107,20 +116,14 @@
 
 
 async def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while() -> None:
-    found = make_listing()
-    found.update(entry())
-    found.source_lost("down")
-    found.source_back(5.0)
+    found = make_listing_after_outage()
     found.replace_all([])
     found.drop_missing()
     assert len(found.directory.serving("llm")) == 1
 
 
 async def test_entry_still_missing_after_an_outage_is_gone() -> None:
-    found = make_listing()
-    found.update(entry())
-    found.source_lost("down")
-    found.source_back(5.0)
+    found = make_listing_after_outage()
     found.replace_all([])
     found.back_at -= 10
     found.missing = dict.fromkeys(found.missing, found.back_at + 2.2)
@@ -130,10 +133,7 @@
 
 async def test_entry_written_after_the_return_and_removed_has_left() -> None:
     """DRAIN: it was kept as long as entries that lapsed in the outage."""
-    found = make_listing()
-    found.update(entry())
-    found.source_lost("down")
-    found.source_back(5.0)
+    found = make_listing_after_outage()
     found.update(entry())
     found.source_back(0.1)
     found.update(entry())
@@ -143,10 +143,7 @@
 
 async def test_entry_written_before_an_outage_only_may_come_back() -> None:
     """The first answer after it also has what was written before."""
-    found = make_listing()
-    found.update(entry())
-    found.source_lost("down")
-    found.source_back(5.0)
+    found = make_listing_after_outage()
     found.update(entry())
     found.source_back(0.1)
     found.withdraw("e1")
@@ -165,10 +162,7 @@
 
 
 async def test_entry_that_returns_after_an_outage_holds() -> None:
-    found = make_listing()
-    found.update(entry())
-    found.source_lost("down")
-    found.source_back(5.0)
+    found = make_listing_after_outage()
     found.replace_all([])
     found.update(entry())
     assert found.missing == {}
