--- a/packages/dogwoodctl/src/_dogwoodctl/documents.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/documents.py
@@ -48,7 +48,7 @@
 
 
 def read_text(path: str) -> str:
-    """Reads a contract file.
+    """Reads a file that is given to a command.
 
     Raises:
         InvalidError: it can't be read.
--- a/packages/dogwoodctl/src/_dogwoodctl/fleet.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/fleet.py
@@ -1,13 +1,12 @@
 """The commands that show a fleet by what its platform keeps."""
 
-import asyncio
 import collections
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
-import pathlib
 
 from _dogwoodctl import context as context_lib
+from _dogwoodctl import documents
 from _dogwoodctl import errors
 from _dogwoodctl import printing
 from _dogwoodhinge import errors as internal_errors
@@ -88,12 +87,7 @@
 
 async def check(context: context_lib.Context, path: str) -> None:
     """Checks a file with the operator's configuration."""
-    try:
-        data = await asyncio.to_thread(pathlib.Path(path).read_bytes)
-    except OSError as error:
-        raise errors.UsageError(
-            f"{path}: {error.strerror}; give a file that can be read"
-        ) from error
+    data = documents.read_text(path).encode()
     async with _open(context) as view:
         problem = view.check_configuration(data)
     if problem:
