An engine that does not respond is left only for a secured one

Callers saw (LOST): the connection closed in the middle of a stream although its engine was still at work on it.

Cause: leaving an engine was decided by one check and carried out by others. The check asked for a slot and looked at the local retry budget; the request then left, asked for a slot again and acquired a retry, and the next engine could refuse it. Each of the three could fail with the first engine already left. Before the first event the check did not even ask for a slot, and it was made for streams that may not be repeated at all, which then failed at once.

Change: the slot and two retries are secured while the first engine is still read; the selection is used as it is. The second retry pays for a return to the first engine if the next one does not run the request, and is given back when it responds. Only resumable requests leave at all.

Ruled out as a remedy: sending to the next engine before leaving the first one. Both would then work on one request for as long as the node needs to notice.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/retry_budget.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/retry_budget.py
@@ -85,11 +85,22 @@
 
     async def take(self, service: str, now: float) -> bool:
         """Takes one retry from the local or the shared budget, if any."""
-        if self.left(service, now) < 1.0:
-            return await self.request_shared_retry(service)
-        self._recent(self.retries, service, now).append(now)
+        return self.take_local(service, now, 1) or (
+            await self.request_shared_retry(service)
+        )
+
+    def take_local(self, service: str, now: float, count: int) -> bool:
+        """Takes `count` retries from the local budget, or none."""
+        if self.left(service, now) < count:
+            return False
+        self._recent(self.retries, service, now).extend([now] * count)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Returns the latest retry that was taken locally and is not needed."""
+        if retries := self.retries.get(service):
+            retries.pop()
+
     def _recent(
         self,
         times: dict[str, collections.deque[float]],
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -27,6 +27,10 @@
 SILENCE_TIMEOUT = datetime.timedelta(milliseconds=700)
 SILENCE_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
+# Time between two attempts to find another engine for a request whose engine
+# does not respond; each of them may ask the leader for an adapter slot.
+SWITCH_RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
+
 # An engine that sent data within this time is up. A failed connect then does
 # not count as an unreachable engine.
 RECENT_ACTIVITY_WINDOW = datetime.timedelta(milliseconds=500)
@@ -95,6 +99,27 @@
         )
 
 
+async def _data_arrives_first(
+    connection: connection_lib.Connection, preparing: Awaitable[bool]
+) -> bool:
+    """Waits for data or until a switch to another engine is prepared.
+
+    Returns:
+        Whether to go on reading from this connection.
+    """
+    prepared = asyncio.ensure_future(preparing)
+    readable = asyncio.ensure_future(connection.wait_readable())
+    try:
+        await asyncio.wait(
+            {prepared, readable}, return_when=asyncio.FIRST_COMPLETED
+        )
+        return not (prepared.done() and prepared.result())
+    finally:
+        for task in (prepared, readable):
+            task.cancel()
+        await asyncio.gather(prepared, readable, return_exceptions=True)
+
+
 @final
 class EngineConnections:
     """The connections to one incarnation of an engine.
@@ -149,15 +174,15 @@
         self,
         *,
         silence_timeout: datetime.timedelta | None = None,
-        may_switch_engine: Callable[[], Awaitable[bool]] | None = None,
+        prepare_switch: Callable[[], Awaitable[bool]] | None = None,
     ) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
         Args:
             silence_timeout: longest time without data; None for no limit.
-            may_switch_engine: called after the timeout, while data is still
-                awaited; returns whether another engine may be used. None if
-                the response ends at the timeout.
+            prepare_switch: called after the timeout, while data is still
+                awaited; returns whether another engine is ready for the
+                request. None if the response ends at the timeout.
 
         Raises:
             IncompleteResponseError: the response ended early.
@@ -172,8 +197,8 @@
                 async with asyncio.timeout(limit):
                     event = await self.connection.next_event()
             except TimeoutError as error:
-                if may_switch_engine is not None and await self._wait_for_data(
-                    may_switch_engine()
+                if prepare_switch is not None and await _data_arrives_first(
+                    self.connection, prepare_switch()
                 ):
                     continue
                 raise SilentEngineError(
@@ -190,24 +215,6 @@
             else:
                 raise IncompleteResponseError("the response ended early")
 
-    async def _wait_for_data(self, switch_check: Awaitable[bool]) -> bool:
-        """Waits for data or for the decision whether to switch the engine.
-
-        Returns:
-            Whether to go on reading from this engine.
-        """
-        checking = asyncio.ensure_future(switch_check)
-        reading = asyncio.ensure_future(self.connection.wait_readable())
-        try:
-            await asyncio.wait(
-                {checking, reading}, return_when=asyncio.FIRST_COMPLETED
-            )
-            return reading.done() or not checking.result()
-        finally:
-            for task in (checking, reading):
-                task.cancel()
-            await asyncio.gather(checking, reading, return_exceptions=True)
-
     def close(self) -> None:
         """Returns the connection to the pool if the response is complete."""
         if self.complete and not self.head.closing:
@@ -243,7 +250,7 @@
         parameters: requests.DispatchParameters,
         *,
         repeatable: bool,
-        may_switch_engine: Callable[[], bool] | None = None,
+        prepare_switch: Callable[[], Awaitable[bool]] | None = None,
     ) -> OpenResponse:
         """Sends a request and reads the head of the response.
 
@@ -252,9 +259,10 @@
             request: the caller's request.
             parameters: the parameters for the engine.
             repeatable: whether the request may run more than once.
-            may_switch_engine: called when the engine is silent or the response
-                counts as lost; returns whether to stop waiting for it. None to
-                wait for the response without a limit.
+            prepare_switch: called when the engine is silent or the response
+                counts as lost, while the response is still awaited; returns
+                whether another engine is ready for the request. None to wait
+                for the response without a limit.
 
         Raises:
             NotRunError: the engine did not run the request.
@@ -282,7 +290,7 @@
                 connection,
                 request,
                 parameters,
-                may_switch_engine,
+                prepare_switch,
             )
         except BaseException:
             if connection in engine_connections.pool.in_use:
@@ -334,7 +342,7 @@
         connection: connection_lib.Connection,
         request: requests.Request,
         parameters: requests.DispatchParameters,
-        may_switch_engine: Callable[[], bool] | None,
+        prepare_switch: Callable[[], Awaitable[bool]] | None,
     ) -> OpenResponse:
         head = h11.Request(
             method=request.raw.method,
@@ -355,7 +363,7 @@
                 engine_connections,
                 connection,
                 parameters,
-                may_switch_engine,
+                prepare_switch,
             )
             decoded = self.codec.decode_response(raw_head)
             response = OpenResponse(
@@ -384,14 +392,14 @@
         engine_connections: EngineConnections,
         connection: connection_lib.Connection,
         parameters: requests.DispatchParameters,
-        may_switch_engine: Callable[[], bool] | None,
+        prepare_switch: Callable[[], Awaitable[bool]] | None,
     ) -> h11.Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         priority = parameters.priority or 0
         check_interval = (
             None
-            if may_switch_engine is None
+            if prepare_switch is None
             else SILENCE_CHECK_INTERVAL.total_seconds()
         )
         while True:
@@ -402,11 +410,10 @@
                 reason = self._switch_reason(
                     engine, engine_connections, priority, sent_at
                 )
-                if (
-                    reason is None
-                    or may_switch_engine is None
-                    or not may_switch_engine()
-                ):
+                if reason is None or prepare_switch is None:
+                    continue
+                if await _data_arrives_first(connection, prepare_switch()):
+                    check_interval = SWITCH_RETRY_INTERVAL.total_seconds()
                     continue
                 raise reason from error
             engine_connections.last_byte_at = loop.time()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import datetime
+import functools
 from typing import final
 
 from _dogwoodhinge.fleet import engines as engines_lib
@@ -44,6 +45,10 @@
 # last event.
 RESUME_TIMEOUT = datetime.timedelta(milliseconds=900)
 
+# Retries that are taken before an engine that does not respond is left: one for
+# the next engine, and one to return if that engine does not run the request.
+SWITCH_RETRIES = 2
+
 # How often a request is sent again after the engine did not hold the adapter.
 MAX_MISDIRECTED_RETRIES = 3
 
@@ -73,39 +78,47 @@
         relay = Relay(call, reply)
         misdirected = 0
         absent_from = ""
+        selection: engine_finder_lib.EngineSelection | None = None
         while True:
-            selection = await self._find(call, relay, absent_from)
+            if selection is None:
+                selection = await self._find_or_return(call, relay, absent_from)
             absent_from = ""
             try:
                 await self._forward_to(call, relay, selection)
                 return
             except errors.NotRunError as error:
                 call.add_step(f"not_run {selection.engine.engine_id}: {error}")
+                engine = selection.engine
+                selection = None
                 if error.unreachable:
-                    call.mark_unreachable(selection.engine.engine_id)
+                    call.mark_unreachable(engine.engine_id)
                     continue
                 if error.misdirected:
                     misdirected += 1
-                    absent_from = self._handle_misdirected(
-                        call, selection.engine
-                    )
+                    absent_from = self._handle_misdirected(call, engine)
                 if (
                     misdirected > MAX_MISDIRECTED_RETRIES
                     or not await call.acquire_retry(
                         self.budget, same_engine=error.misdirected
                     )
                 ):
-                    raise errors.RequestRejectedError(
-                        "engine_refused",
-                        retry_after=engine_finder_lib.NO_ENGINE_RETRY_DELAY,
-                    ) from error
+                    selection = self._return_to_left_engine(call, relay)
+                    if selection is None:
+                        raise errors.RequestRejectedError(
+                            "engine_refused",
+                            retry_after=engine_finder_lib.NO_ENGINE_RETRY_DELAY,
+                        ) from error
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
                 call.add_step(f"broken {selection.engine.engine_id}: {error}")
-                if not call.route.resumable or not await call.acquire_retry(
-                    self.budget
+                selection = relay.take_prepared_selection()
+                if selection is None and not (
+                    call.route.resumable
+                    and await call.acquire_retry(self.budget)
                 ):
-                    raise
+                    selection = self._return_to_left_engine(call, relay)
+                    if selection is None:
+                        raise
 
     async def _find(
         self, call: call_lib.Call, relay: "Relay", absent_from: str
@@ -122,7 +135,7 @@
             now = asyncio.get_running_loop().time()
             resume_until = now + RESUME_TIMEOUT.total_seconds()
             wait_until = min(call.deadline, max(wait_until, resume_until))
-        selection = await self.engine_finder.find(
+        return await self.engine_finder.find(
             call.service,
             call.request.adapter,
             avoid=call.excluded_engines,
@@ -131,10 +144,40 @@
             target_at=target_at,
             wait_until=wait_until,
         )
-        call.found_by = selection.found_by
-        call.adapter_version = selection.version or 0
+
+    async def _find_or_return(
+        self, call: call_lib.Call, relay: "Relay", absent_from: str
+    ) -> engine_finder_lib.EngineSelection:
+        """Selects an engine; the one that was left if there is no other."""
+        try:
+            return await self._find(call, relay, absent_from)
+        except errors.RequestRejectedError:
+            selection = self._return_to_left_engine(call, relay)
+            if selection is None:
+                raise
+            return selection
+
+    def _return_to_left_engine(
+        self, call: call_lib.Call, relay: "Relay"
+    ) -> engine_finder_lib.EngineSelection | None:
+        """Returns the selection of the engine that was left, at most once.
+
+        That engine did not fail: it was left because its response paused. The
+        retry for the return was acquired before it was left.
+        """
+        selection = relay.left_selection
+        relay.left_selection = None
+        if selection is None or not selection.engine.accepts_requests:
+            return None
+        call.add_step(f"returned {selection.engine.engine_id}")
         return selection
 
+    def _end_return_option(self, call: call_lib.Call, relay: "Relay") -> None:
+        """Gives back the retry for a return, as another engine responded."""
+        if relay.left_selection is not None:
+            relay.left_selection = None
+            self.budget.give_back(call.service)
+
     def _handle_misdirected(
         self, call: call_lib.Call, engine: engines_lib.Engine
     ) -> str:
@@ -156,7 +199,14 @@
     ) -> None:
         engine = selection.engine
         loop = asyncio.get_running_loop()
+        prepare_switch = None
+        if call.route.resumable:
+            prepare_switch = functools.partial(
+                self._prepare_switch, call, relay, selection
+            )
         unread_prompt = UnreadPrompt(engine, call.request.prompt_tokens)
+        call.found_by = selection.found_by
+        call.adapter_version = selection.version or 0
         call.tried_engines.append(engine.engine_id)
         call.sent_at = loop.time()
         engine.running += 1
@@ -175,15 +225,14 @@
                     resume_after=relay.last_event_id,
                 ),
                 repeatable=call.route.resumable,
-                may_switch_engine=lambda: self._may_switch_engine(call, engine),
+                prepare_switch=prepare_switch,
             )
             try:
                 unread_prompt.end()
+                if response.head.status == 200:
+                    self._end_return_option(call, relay)
                 await relay.relay_response(
-                    response,
-                    may_switch_engine=lambda: self._has_slot_elsewhere(
-                        call, relay, engine
-                    ),
+                    response, prepare_switch=prepare_switch
                 )
             finally:
                 response.close()
@@ -220,24 +269,37 @@
         return (
             call.may_try_another_engine
             and bool(others)
-            and self.budget.left(call.service, now) >= 1
+            and self.budget.left(call.service, now) >= SWITCH_RETRIES
         )
 
-    async def _has_slot_elsewhere(
-        self, call: call_lib.Call, relay: "Relay", engine: engines_lib.Engine
+    async def _prepare_switch(
+        self,
+        call: call_lib.Call,
+        relay: "Relay",
+        current: engine_finder_lib.EngineSelection,
     ) -> bool:
-        """Returns whether a paused stream can continue on another engine.
+        """Secures another engine for a request whose engine does not respond.
+
+        The engine may have suspended the request for others of a higher
+        priority. Leaving it without a slot and a retry elsewhere would only end
+        the response early.
 
-        Its engine may have suspended it for requests of a higher priority. If
-        no other engine has a slot, leaving it would only end the stream early.
+        Returns:
+            Whether the request may leave its engine.
         """
-        if not self._may_switch_engine(call, engine):
+        if not self._may_switch_engine(call, current.engine):
             return False
         try:
-            await self._find(call, relay, absent_from="")
+            selection = await self._find(call, relay, absent_from="")
         except errors.RequestRejectedError as error:
-            call.add_step(f"kept {engine.engine_id}: {error.reason}")
+            call.add_step(f"kept {current.engine.engine_id}: {error.reason}")
             return False
+        now = asyncio.get_running_loop().time()
+        if not self.budget.take_local(call.service, now, SWITCH_RETRIES):
+            call.add_step(f"kept {current.engine.engine_id}: no_retry_left")
+            return False
+        relay.prepared_selection = selection
+        relay.left_selection = current
         return True
 
 
@@ -286,25 +348,39 @@
 
     Attributes:
         last_event_id: id of the last event sent to the caller.
+        prepared_selection: the engine that continues when the current one is
+            left, with its retry already taken.
+        left_selection: the engine that was left although it had not failed;
+            None once another engine has responded.
     """
 
     def __init__(self, call: call_lib.Call, reply: server.Reply) -> None:
         self.call = call
         self.reply = reply
         self.last_event_id = call.request.resume_after
+        self.prepared_selection: engine_finder_lib.EngineSelection | None = None
+        self.left_selection: engine_finder_lib.EngineSelection | None = None
+
+    def take_prepared_selection(
+        self,
+    ) -> engine_finder_lib.EngineSelection | None:
+        """Returns the prepared selection, if any, and forgets it."""
+        selection = self.prepared_selection
+        self.prepared_selection = None
+        return selection
 
     async def relay_response(
         self,
         response: sender_lib.OpenResponse,
         *,
-        may_switch_engine: Callable[[], Awaitable[bool]],
+        prepare_switch: Callable[[], Awaitable[bool]] | None,
     ) -> None:
         """Forwards one engine's response to the caller.
 
         Args:
             response: the engine's response.
-            may_switch_engine: returns whether another engine may be used when
-                this one pauses.
+            prepare_switch: called when the response pauses; returns whether
+                another engine is ready. None to stay at this engine.
 
         Raises:
             OutcomeUnknownError: the response ended early or is invalid.
@@ -315,7 +391,7 @@
             await self._relay_failure(response)
             return
         if self.call.route.resumable:
-            await self._relay_events(response, may_switch_engine)
+            await self._relay_events(response, prepare_switch)
         else:
             await self._relay_bytes(response)
         self.reply.finish()
@@ -335,12 +411,12 @@
     async def _relay_events(
         self,
         response: sender_lib.OpenResponse,
-        may_switch_engine: Callable[[], Awaitable[bool]],
+        prepare_switch: Callable[[], Awaitable[bool]] | None,
     ) -> None:
         splitter = event_stream.EventSplitter()
         chunks = response.chunks(
             silence_timeout=STREAM_PAUSE_TIMEOUT,
-            may_switch_engine=may_switch_engine,
+            prepare_switch=prepare_switch,
         )
         async for chunk in chunks:
             for event in splitter.feed(chunk):
