A stalled node reads first, and then judges its engines

Callers would see streams cut (LOST) and the budget for retries spent after a node had stood still or run slowly for a second.

Cause: the timers for a paused stream and for a silent engine expire while the node itself stands still. When it goes on, they fire before what the engines have sent meanwhile is read, so sound engines count as silent and are left.

Not seen in a log yet.

Ruled out: longer timeouts, which would only move the limit.

Change: a timer that fires more than 200 ms late, or with data waiting, is followed by one short read before the engine is judged.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 import datetime
-from typing import final
+import functools
+from typing import TypeVar, final
 
 import h11
 
@@ -17,6 +18,8 @@
 from _dogwoodhinge.http1 import errors as http_errors
 from _dogwoodhinge.http1 import pool as pool_lib
 
+_T = TypeVar("_T")
+
 # Responses to earlier requests that are skipped on one connection before the
 # outcome counts as unknown.
 MAX_STALE_RESPONSES = 3
@@ -31,6 +34,11 @@
 # does not respond; each of them may ask the leader for an adapter slot.
 SWITCH_RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
 
+# A timer that fires later than this shows that this node itself was held up. It
+# then reads for RECHECK_TIMEOUT what has arrived in the meantime.
+MAX_TIMER_DELAY = datetime.timedelta(milliseconds=200)
+RECHECK_TIMEOUT = datetime.timedelta(milliseconds=150)
+
 # An engine that sent data within this time is up. A failed connect then does
 # not count as an unreachable engine.
 RECENT_ACTIVITY_WINDOW = datetime.timedelta(milliseconds=500)
@@ -99,6 +107,36 @@
         )
 
 
+async def _read_within(
+    timeout: float | None,
+    connection: connection_lib.Connection,
+    read: Callable[[], Awaitable[_T]],
+) -> _T:
+    """Reads from an engine, for longer if this node itself was held up.
+
+    Args:
+        timeout: seconds to wait; None for no limit.
+        connection: the connection that is read.
+        read: reads the next message part; may be cancelled and called again.
+
+    Raises:
+        TimeoutError: nothing arrived in time.
+    """
+    if timeout is None:
+        return await read()
+    loop = asyncio.get_running_loop()
+    due = loop.time() + timeout
+    try:
+        async with asyncio.timeout_at(due):
+            return await read()
+    except TimeoutError:
+        on_time = loop.time() < due + MAX_TIMER_DELAY.total_seconds()
+        if on_time and not connection.readable:
+            raise
+    async with asyncio.timeout(RECHECK_TIMEOUT.total_seconds()):
+        return await read()
+
+
 async def _data_arrives_first(
     connection: connection_lib.Connection, preparing: Awaitable[bool]
 ) -> bool:
@@ -194,8 +232,9 @@
             limit = silence_timeout.total_seconds()
         while True:
             try:
-                async with asyncio.timeout(limit):
-                    event = await self.connection.next_event()
+                event = await _read_within(
+                    limit, self.connection, self.connection.next_event
+                )
             except TimeoutError as error:
                 if prepare_switch is not None and await _data_arrives_first(
                     self.connection, prepare_switch()
@@ -404,8 +443,11 @@
         )
         while True:
             try:
-                async with asyncio.timeout(check_interval):
-                    head = await self._next_response(connection)
+                head = await _read_within(
+                    check_interval,
+                    connection,
+                    functools.partial(self._next_response, connection),
+                )
             except TimeoutError as error:
                 reason = self._switch_reason(
                     engine, engine_connections, priority, sent_at
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -146,6 +146,11 @@
             self._resume_reading()
             await self._readable.wait()
 
+    @property
+    def readable(self) -> bool:
+        """True if data or the end has arrived since the last read."""
+        return self._readable.is_set()
+
     async def wait_readable(self) -> None:
         """Waits until data arrives or the connection ends."""
         await self._readable.wait()
