Connections of callers say what ended them

What was seen: a request whose caller, network or node ended the connection left the same trace. A request of which only a part had arrived left no line at all: the check read `unparsed_bytes`, which is 0 as soon as the parser has seen the part. A complete request on a connection that was already closed was dropped without a line, and so was one behind the last response of a node that leaves. A read on a connection that this node had closed blamed the peer.

A connection keeps the first cause of its end. The server counts requests that ended without a complete response by stage and cause, writes `request_unfinished` for each partly received one and `request_not_run` for a dropped one, and tells how many idle connections it closed.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -41,8 +41,15 @@
             side has closed or aborted it.
         reset: whether the connection ended with a reset, not with a close.
         eof: whether the peer has closed its side.
+        end_reason: what ended the connection first: `peer_closed`,
+            `peer_reset`, `unacknowledged` (the peer acknowledged no data in
+            time), `network_error`, `closed_here` or `aborted_here`; empty
+            while the connection is open.
         idle_since: loop time of the last use, set by the connection pool.
         unparsed_bytes: bytes received that the parser has not consumed yet.
+        message_number: number of the current message on this connection,
+            starting at 1.
+        message_bytes: bytes received of a message that is not complete.
     """
 
     def __init__(
@@ -58,8 +65,11 @@
         self.lost = asyncio.Event()
         self.reset = False
         self.eof = False
+        self.end_reason = ""
         self.idle_since = 0.0
         self.unparsed_bytes = 0
+        self.message_number = 1
+        self.message_bytes = 0
         self._eof_fed = False
         self._ended = asyncio.Event()
         self._readable = asyncio.Event()
@@ -92,6 +102,7 @@
         """Passes received bytes to the parser."""
         self.parser.receive_data(data)
         self.unparsed_bytes += len(data)
+        self.message_bytes += len(data)
         if (
             self.unparsed_bytes > MAX_UNPARSED_BYTES
             and not self._reading_paused
@@ -102,14 +113,14 @@
     def eof_received(self) -> bool:
         """Records that the peer will send no more data."""
         self.eof = True
-        self._mark_lost()
+        self._mark_lost("peer_closed")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Records the end of the connection."""
         self.reset = self.reset or (exc is not None and not self.eof)
         self._ended.set()
-        self._mark_lost()
+        self._mark_lost(_describe_end(exc))
 
     def pause_writing(self) -> None:
         """Blocks `drain`: the write buffer is full."""
@@ -137,11 +148,7 @@
                 self._feed_eof()
                 continue
             if self.lost.is_set():
-                raise errors.ConnectionLostError(
-                    "the peer reset the connection"
-                    if self.reset
-                    else "the peer closed the connection"
-                )
+                raise errors.ConnectionLostError(self._describe_loss())
             self._readable.clear()
             self._resume_reading()
             await self._readable.wait()
@@ -187,6 +194,7 @@
             return False
         self.parser.start_next_cycle()
         self.unparsed_bytes = 0
+        self.message_number += 1
         return True
 
     def expect_next_response(self, request: h11.Request) -> bool:
@@ -238,13 +246,13 @@
         """Closes the connection after all queued data has been sent."""
         if self.transport is not None:
             self.transport.close()
-        self._mark_lost()
+        self._mark_lost("closed_here")
 
     def abort(self) -> None:
         """Drops the connection at once; the peer gets an incomplete message."""
         if self.transport is not None:
             self.transport.abort()
-        self._mark_lost()
+        self._mark_lost("aborted_here")
 
     def cancel_when_lost(self, task: asyncio.Task[None] | None) -> None:
         """Cancels `task` when the connection ends; None disables this."""
@@ -270,13 +278,16 @@
             self.unparsed_bytes = max(0, self.unparsed_bytes - len(event.data))
         elif isinstance(event, h11.EndOfMessage) or event is h11.NEED_DATA:
             self.unparsed_bytes = 0
+        if isinstance(event, h11.EndOfMessage):
+            self.message_bytes = len(self.parser.trailing_data[0])
         return event
 
     def _feed_eof(self) -> None:
         with contextlib.suppress(h11.RemoteProtocolError):
             self.parser.receive_data(b"")
 
-    def _mark_lost(self) -> None:
+    def _mark_lost(self, reason: str) -> None:
+        self.end_reason = self.end_reason or reason
         self.lost.set()
         self._readable.set()
         self._writable.set()
@@ -284,6 +295,13 @@
             self._on_lost.cancel()
             self._on_lost = None
 
+    def _describe_loss(self) -> str:
+        if self.reset:
+            return "the peer reset the connection"
+        if self.end_reason in ("closed_here", "aborted_here"):
+            return "this node closed the connection"
+        return "the peer closed the connection"
+
     def _pause_reading(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
@@ -294,3 +312,14 @@
             self._reading_paused = False
             if not self.transport.is_closing():
                 self.transport.resume_reading()
+
+
+def _describe_end(error: Exception | None) -> str:
+    """Returns the `end_reason` of a connection that the peer ended."""
+    if error is None:
+        return "peer_closed"
+    if isinstance(error, TimeoutError):
+        return "unacknowledged"
+    if isinstance(error, ConnectionError):
+        return "peer_reset"
+    return "network_error"
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 server for the connections of callers."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 import dataclasses
 import datetime
@@ -25,6 +26,9 @@
 LINGER_BYTES = 256 * 1024
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 
+# Longer paths are truncated in log lines.
+MAX_LOGGED_PATH_BYTES = 100
+
 MAX_BODY_BUFFER_BYTES = 48 * 1024 * 1024  # a sixth of a small host's memory
 
 
@@ -133,6 +137,24 @@
         """Closes the connection, so that the response is not complete."""
         self.connection.close()
 
+    def connection_fields(self) -> dict[str, object]:
+        """Returns the log fields of the caller's connection."""
+        return _connection_fields(self.connection)
+
+
+def _connection_fields(
+    connection: connection_lib.Connection,
+) -> dict[str, object]:
+    """Returns the address, the request's number and the state."""
+    peer = None
+    if connection.transport is not None:
+        peer = connection.transport.get_extra_info("peername")
+    return {
+        "caller": f"{peer[0]}:{peer[1]}" if peer else "",
+        "connection_request": connection.message_number,
+        "caller_connection": connection.end_reason or "open",
+    }
+
 
 def _check_framing(head: h11.Request) -> None:
     """Rejects requests whose framing is ambiguous (request smuggling).
@@ -164,6 +186,9 @@
         connections: all connections, including closed ones that still have
             data to send.
         idle: connections that wait for a request.
+        unanswered: number of requests that ended without a complete response,
+            by stage (`reading` or `serving`) and reason: the `end_reason` of
+            the connection, `open`, `cut_off` or `handler_error`.
     """
 
     def __init__(
@@ -186,6 +211,9 @@
             weakref.WeakSet()
         )
         self.idle: set[connection_lib.Connection] = set()
+        self.unanswered: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -205,9 +233,25 @@
         A connection that has received data which its task has not read yet
         stays open; its response carries `Connection: close`.
         """
-        for connection in tuple(self.idle):
+        idle = tuple(self.idle)
+        closed = 0
+        for connection in idle:
             if not connection.received_while_idle:
                 connection.close()
+                closed += 1
+        self.report(
+            "idle_connections_closed",
+            {
+                "closed": closed,
+                "kept": len(idle) - closed,
+                "active": self.active,
+            },
+        )
+
+    @property
+    def unsent(self) -> int:
+        """Number of connections whose responses are not sent completely."""
+        return sum(not found.all_sent for found in tuple(self.connections))
 
     async def wait_until_sent(self) -> None:
         """Waits until all responses have been passed to the kernel."""
@@ -243,8 +287,10 @@
         except (errors.HttpError, TimeoutError) as error:
             # Callers may disconnect at any time. This is logged only if a
             # request was incomplete.
-            if connection.unparsed_bytes:
-                self.report("request_unfinished", {"reason": str(error)})
+            if connection.message_bytes:
+                self._report_unfinished(
+                    connection, str(error) or "no data in time"
+                )
         except asyncio.CancelledError:
             connection.abort()
             raise
@@ -254,6 +300,7 @@
                 {
                     "error": f"{type(error).__name__}: {error}",
                     "traceback": traceback.format_exc(),
+                    **_connection_fields(connection),
                 },
             )
             connection.abort()
@@ -261,6 +308,35 @@
             self.idle.discard(connection)
             connection.close()
 
+    def _report_unfinished(
+        self, connection: connection_lib.Connection, reason: str
+    ) -> None:
+        """Logs and counts a request that was not read completely."""
+        fields = _connection_fields(connection)
+        self.unanswered["reading", connection.end_reason or "open"] += 1
+        self.report(
+            "request_unfinished",
+            {
+                "reason": reason,
+                "received_bytes": connection.message_bytes,
+                **fields,
+            },
+        )
+
+    def _report_not_run(
+        self, connection: connection_lib.Connection, request: RawRequest
+    ) -> None:
+        """Logs and counts a request whose connection ended before it ran."""
+        path = request.target.partition(b"?")[0][:MAX_LOGGED_PATH_BYTES]
+        self.unanswered["reading", connection.end_reason] += 1
+        self.report(
+            "request_not_run",
+            {
+                "target": path.decode("latin-1"),
+                **_connection_fields(connection),
+            },
+        )
+
     async def _serve_one(self, connection: connection_lib.Connection) -> bool:
         limits = self.limits()
         try:
@@ -293,22 +369,36 @@
         try:
             if connection.lost.is_set():
                 # The response could not be delivered, so do not run it.
+                self._report_not_run(connection, request)
                 return False
             connection.cancel_when_lost(task)
             await self.handler(request, reply)
         except asyncio.CancelledError:
+            if not reply.finished:
+                reason = connection.end_reason or "cut_off"
+                self.unanswered["serving", reason] += 1
             if not connection.lost.is_set():
                 raise
             if task is not None:
                 task.uncancel()
             return False
+        except Exception:
+            if not reply.finished:
+                reason = connection.end_reason or "handler_error"
+                self.unanswered["serving", reason] += 1
+            raise
         finally:
             connection.cancel_when_lost(None)
             self.buffered_bytes -= len(request.body)
         if not reply.finished:
             reply.break_off()
+            self.unanswered["serving", connection.end_reason] += 1
             return False
         if reply.close_after or self.leaving.is_set():
+            if connection.message_bytes:
+                self._report_unfinished(
+                    connection, "received after the last request"
+                )
             return False
         return connection.start_next_message()
 
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -1,12 +1,16 @@
 """Tests of `_dogwoodhinge.http1.server`."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
+import socket
+import struct
 
+import h11
 import pytest
 
 from _dogwoodhinge.http1 import connection as connection_lib
+from _dogwoodhinge.http1 import errors as http_errors
 from _dogwoodhinge.http1 import server as server_lib
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: example\r\n\r\n"
@@ -25,16 +29,32 @@
         self.server = server_lib.Server(
             handler=self.handle,
             limits=server_lib.Limits,
-            report=lambda event, fields: None,
+            report=self.report,
         )
+        self.events: list[tuple[str, dict[str, object]]] = []
+        self.respond = self.answer
+
+    def report(self, event: str, fields: dict[str, object]) -> None:
+        """Records a log event."""
+        self.events.append((event, fields))
 
     async def handle(
         self, request: server_lib.RawRequest, reply: server_lib.Reply
     ) -> None:
-        """Responds at once."""
+        """Responds as the test demands, at once by default."""
         self.targets.append(request.target)
+        await self.respond(reply)
+
+    async def answer(self, reply: server_lib.Reply) -> None:
+        """Sends a complete response."""
         reply.answer(200, [], self.body)
 
+    async def closed(self) -> None:
+        """Waits until no connection is served any more."""
+        async with asyncio.timeout(5):
+            while self.server.tasks:
+                await asyncio.sleep(0.001)
+
     async def connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -148,3 +168,224 @@
         await waiting
     writer.close()
     assert len(answer) > len(LARGE_BODY)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a reset."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ("error", "end_reason"),
+    [
+        (None, "peer_closed"),
+        (ConnectionResetError(), "peer_reset"),
+        (TimeoutError(), "unacknowledged"),
+        (OSError(), "network_error"),
+    ],
+    ids=["closed", "reset", "unacknowledged", "other"],
+)
+def test_connection_says_how_its_peer_ended_it(
+    error: Exception | None, end_reason: str
+) -> None:
+    connection = connection_lib.Connection(
+        role=h11.SERVER, max_head_bytes=1_000
+    )
+    connection.connection_lost(error)
+    connection.close()
+    assert connection.end_reason == end_reason
+
+
+async def test_read_from_a_connection_closed_here_does_not_blame_the_peer() -> (
+    None
+):
+    connection = connection_lib.Connection(
+        role=h11.SERVER, max_head_bytes=1_000
+    )
+    connection.close()
+    with pytest.raises(
+        http_errors.ConnectionLostError, match="this node closed the connection"
+    ):
+        await connection.next_event()
+
+
+async def test_connection_that_this_side_ended_says_so(
+    harness: ServerHarness,
+) -> None:
+    _, writer = await harness.connect()
+    connection = await harness.idle_connection()
+    harness.server.close_idle()
+    await harness.closed()
+    writer.close()
+    assert connection.end_reason == "closed_here"
+
+
+@pytest.mark.parametrize(
+    ("leave", "end_reason"),
+    [
+        (asyncio.StreamWriter.close, "peer_closed"),
+        (reset, "peer_reset"),
+    ],
+    ids=["closed", "reset"],
+)
+@pytest.mark.parametrize(
+    "received", [POST[:20], POST + b"bo"], ids=["head", "body"]
+)
+async def test_unfinished_request_is_reported_with_its_connection(
+    harness: ServerHarness,
+    received: bytes,
+    leave: Callable[[asyncio.StreamWriter], None],
+    end_reason: str,
+) -> None:
+    reader, writer = await harness.connect()
+    host, port = writer.get_extra_info("sockname")
+    writer.write(REQUEST % 1)
+    await reader.readuntil(b"done")
+    connection = await harness.idle_connection()
+    writer.write(received)
+    async with asyncio.timeout(5):
+        while connection.message_bytes < len(received):
+            await asyncio.sleep(0.001)
+    await asyncio.sleep(0.01)
+    leave(writer)
+    await harness.closed()
+    ((event, fields),) = harness.events
+    assert event == "request_unfinished"
+    assert fields["received_bytes"] == len(received)
+    assert fields["caller"] == f"{host}:{port}"
+    assert fields["caller_connection"] == end_reason
+    assert fields["connection_request"] == 2
+    assert harness.server.unanswered == {("reading", end_reason): 1}
+
+
+async def test_connections_without_a_request_end_without_a_line(
+    harness: ServerHarness,
+) -> None:
+    reader, writer = await harness.connect()
+    writer.write(REQUEST % 1)
+    await reader.readuntil(b"done")
+    await harness.idle_connection()
+    reset(writer)
+    await harness.closed()
+    assert harness.events == []
+    assert not harness.server.unanswered
+
+
+async def test_request_that_follows_the_last_response_is_reported(
+    harness: ServerHarness,
+) -> None:
+    async def answer_late(reply: server_lib.Reply) -> None:
+        harness.server.leave()
+        await harness.answer(reply)
+
+    harness.respond = answer_late
+    _, writer = await harness.connect()
+    writer.write(REQUEST % 1 + REQUEST % 2)
+    await harness.closed()
+    writer.close()
+    assert harness.targets == [b"/1"]
+    ((event, fields),) = harness.events
+    assert event == "request_unfinished"
+    assert fields["received_bytes"] == len(REQUEST % 2)
+    assert harness.server.unanswered == {("reading", "open"): 1}
+
+
+async def test_request_on_a_closed_connection_is_reported(
+    harness: ServerHarness,
+) -> None:
+    _, writer = await harness.connect()
+    connection = await harness.idle_connection()
+    connection.data_received(REQUEST % 1)
+    connection.close()
+    await harness.closed()
+    writer.close()
+    ((event, fields),) = harness.events
+    assert event == "request_not_run"
+    assert fields["target"] == "/1"
+    assert fields["caller_connection"] == "closed_here"
+    assert harness.server.unanswered == {("reading", "closed_here"): 1}
+
+
+async def test_request_cut_off_by_the_server_is_counted(
+    harness: ServerHarness,
+) -> None:
+    async def wait(reply: server_lib.Reply) -> None:
+        await asyncio.sleep(60)
+
+    harness.respond = wait
+    _, writer = await harness.connect()
+    writer.write(REQUEST % 1)
+    async with asyncio.timeout(5):
+        while not harness.targets:
+            await asyncio.sleep(0.001)
+    await harness.server.close()
+    writer.close()
+    assert harness.server.unanswered == {("serving", "cut_off"): 1}
+
+
+async def test_request_left_by_its_caller_is_counted(
+    harness: ServerHarness,
+) -> None:
+    async def wait(reply: server_lib.Reply) -> None:
+        await asyncio.sleep(60)
+
+    harness.respond = wait
+    _, writer = await harness.connect()
+    writer.write(REQUEST % 1)
+    async with asyncio.timeout(5):
+        while not harness.targets:
+            await asyncio.sleep(0.001)
+    reset(writer)
+    await harness.closed()
+    assert harness.server.unanswered == {("serving", "peer_reset"): 1}
+
+
+async def test_broken_off_response_is_counted(harness: ServerHarness) -> None:
+    async def break_off(reply: server_lib.Reply) -> None:
+        reply.begin(200, [(b"Content-Length", b"9")])
+        reply.break_off()
+
+    harness.respond = break_off
+    reader, writer = await harness.connect()
+    writer.write(REQUEST % 1)
+    await reader.read()
+    await harness.closed()
+    writer.close()
+    assert harness.server.unanswered == {("serving", "closed_here"): 1}
+
+
+async def test_error_of_the_handler_is_reported_with_its_connection(
+    harness: ServerHarness,
+) -> None:
+    async def fail(reply: server_lib.Reply) -> None:
+        raise ValueError("wrong")
+
+    harness.respond = fail
+    _, writer = await harness.connect()
+    writer.write(REQUEST % 1)
+    await harness.closed()
+    writer.close()
+    ((event, fields),) = harness.events
+    assert event == "connection_failed"
+    assert fields["error"] == "ValueError: wrong"
+    assert fields["caller_connection"] == "open"
+    assert harness.server.unanswered == {("serving", "handler_error"): 1}
+
+
+async def test_closed_idle_connections_are_reported(
+    harness: ServerHarness,
+) -> None:
+    writers = [(await harness.connect())[1] for _ in range(3)]
+    async with asyncio.timeout(5):
+        while len(harness.server.idle) < 3:
+            await asyncio.sleep(0.001)
+    (await harness.idle_connection()).data_received(REQUEST % 1)
+    harness.server.close_idle()
+    for writer in writers:
+        writer.close()
+    assert harness.events == [
+        ("idle_connections_closed", {"closed": 2, "kept": 1, "active": 0})
+    ]
