The request line says who ended a request without an answer

Before, `caller_left` stood for a caller that left, for a connection task that the node cancelled, and for an exception that escaped the handler. The latter two are now `cut_off` and `handler_error`, the exception being the last step.

A request without a complete response names its caller's connection: address, number of the request on it, what ended it (so `caller_lost` tells a reset from data that was not acknowledged), whether the node was leaving, and when the last event was sent. `engine_end` says whether the node left the engine by its own decision, with the connection still open (`left_...`), or the engine broke off. A retry that was not allowed adds a step with the reason: engines, deadline or budget; `broken_off_unknown` did not say which.

Answered requests have the same fields as before, unless an attempt failed.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -28,7 +28,10 @@
         sent_at: loop time of the last send to an engine.
         first_byte_at: loop time of the first byte to the caller.
         events: number of stream events or chunks forwarded.
+        last_event_at: loop time of the last of them.
         longest_pause: longest time between two of them, in seconds.
+        engine_end: how the last attempt without a valid response ended; see
+            `errors.OutcomeUnknownError`.
         found_by: how the engine was selected; see `EngineSelection`.
     """
 
@@ -58,6 +61,7 @@
         self.events = 0
         self.longest_pause = 0.0
         self.last_event_at: float | None = None
+        self.engine_end = ""
         self.found_by = ""
         self.adapter_version = 0
 
@@ -103,11 +107,15 @@
             Whether the request may be sent again.
         """
         now = asyncio.get_running_loop().time()
-        return (
-            (same_engine or self.may_try_another_engine)
-            and self.time_left() > 0
-            and await budget.take(self.service, now)
-        )
+        if not (same_engine or self.may_try_another_engine):
+            self.add_step("no_retry engines")
+        elif self.time_left() <= 0:
+            self.add_step("no_retry deadline")
+        elif not await budget.take(self.service, now):
+            self.add_step("no_retry budget")
+        else:
+            return True
+        return False
 
     def mark_unreachable(self, engine_id: str) -> None:
         """Records that nothing could be sent to the engine tried last."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
@@ -1,6 +1,7 @@
 """Errors that end a request without a response from an engine."""
 
 import datetime
+from typing import ClassVar
 
 from dogwoodhinge import errors
 
@@ -31,7 +32,20 @@
 
 
 class OutcomeUnknownError(GatewayError):
-    """The request was sent and may have run, without a valid response."""
+    """The request was sent and may have run, without a valid response.
+
+    Attributes:
+        engine_end: short name for logs. It starts with `left_` if this node
+            stopped waiting while the engine's connection was open.
+    """
+
+    engine_end: ClassVar[str] = "no_valid_response"
+
+
+class LateResponseError(OutcomeUnknownError):
+    """The response did not arrive within the time of the attempt."""
+
+    engine_end = "left_late"
 
 
 class RequestRejectedError(GatewayError):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import itertools
 import random
 from typing import final
 
@@ -24,6 +25,10 @@
 # callers that were rejected together do not all retry together.
 RETRY_JITTER = 0.5
 
+MAX_NAMED_REQUESTS = 20
+
+MAX_LOGGED_ERROR_LENGTH = 200
+
 NO_CONFIGURATION_RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
@@ -34,6 +39,7 @@
     Attributes:
         active: number of requests in progress, by adapter.
         begun: number of requests started, by adapter.
+        running: requests in progress.
     """
 
     def __init__(
@@ -58,6 +64,12 @@
         self.request_metrics = request_metrics
         self.active: dict[models.AdapterKey, int] = {}
         self.begun: dict[models.AdapterKey, int] = {}
+        self.running: set[call_lib.Call] = set()
+
+    def running_requests(self) -> list[str]:
+        """Returns ids of requests in progress, `MAX_NAMED_REQUESTS` at most."""
+        calls = itertools.islice(self.running, MAX_NAMED_REQUESTS)
+        return [call.request.request_id for call in calls]
 
     async def handle(self, raw: server.RawRequest, reply: server.Reply) -> None:
         """Serves one request; see `http1.server.Handler`."""
@@ -117,10 +129,23 @@
         self.budget.record_request(call.service, loop.time())
         key = call.request.adapter
         self._record_start(key)
+        self.running.add(call)
         outcome = "caller_left"
         try:
             outcome = await self._forward(call, reply)
+        except asyncio.CancelledError:
+            if not reply.connection.lost.is_set():
+                outcome = "cut_off"
+            raise
+        except http_errors.ConnectionLostError:
+            raise
+        except Exception as error:
+            outcome = "handler_error"
+            text = f"{type(error).__name__}: {error}"
+            call.add_step(f"error {text[:MAX_LOGGED_ERROR_LENGTH]}")
+            raise
         finally:
+            self.running.discard(call)
             self._record_end(key)
             self._log(call, reply, outcome)
 
@@ -231,6 +256,14 @@
             fields["version"] = call.adapter_version
             fields["events"] = call.events
             fields["longest_pause_ms"] = int(call.longest_pause * 1000)
+        if call.engine_end:
+            fields["engine_end"] = call.engine_end
+        if not reply.finished:
+            fields.update(reply.connection_fields())
+            fields["leaving"] = reply.close_after
+            if call.last_event_at is not None:
+                last_event = call.last_event_at - call.received_at
+                fields["last_event_ms"] = int(last_event * 1000)
         if call.steps:
             fields["steps"] = call.steps
         self.events.write("request", fields)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -76,6 +76,7 @@
                     ) from error
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
+                call.engine_end = error.engine_end
                 call.add_step(f"unknown {engine.engine_id}: {error}")
                 if not call.route.repeatable or not await call.acquire_retry(
                     self.budget
@@ -116,7 +117,7 @@
                 return await self._relay_response(call, engine, response, reply)
         except TimeoutError as error:
             engine.health.record_failure(health_lib.Failure.ERROR, loop.time())
-            raise errors.OutcomeUnknownError("no response in time") from error
+            raise errors.LateResponseError("no response in time") from error
         except errors.GatewayError as error:
             sender_lib.record_failure(engine, error, loop.time())
             raise
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -45,14 +45,20 @@
 class IncompleteResponseError(errors.OutcomeUnknownError):
     """A response ended before it was complete."""
 
+    engine_end = "broke_off"
+
 
 class SilentEngineError(errors.OutcomeUnknownError):
     """An engine sends no data on any of its connections."""
 
+    engine_end = "left_silent"
+
 
 class LostResponseError(errors.OutcomeUnknownError):
     """An engine has responded to later requests, but not to this one."""
 
+    engine_end = "left_overtaken"
+
 
 def record_failure(
     engine: engines_lib.Engine,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -101,6 +101,7 @@
                     ) from error
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
+                call.engine_end = error.engine_end
                 call.add_step(f"broken {selection.engine.engine_id}: {error}")
                 if not call.route.resumable or not await call.acquire_retry(
                     self.budget
