explain-log tells a node's decision from a fault of its engine

A stream that the node left by its own decision was explained as "Its engine broke off". The sentence now follows `engine_end`. The new outcomes `cut_off` and `handler_error` have sentences, and a request that its caller left is shown with the shutdown of its own node, if there was one at that time.

--- a/packages/dogwoodctl/src/_dogwoodctl/log_explanation.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/log_explanation.py
@@ -33,12 +33,23 @@
     "refused_model_absent": ("endpoint_joined", "model_load_ordered"),
     "broken_off": ("endpoint_gone", "endpoint_leaving"),
     "failed": ("endpoint_gone", "endpoint_leaving"),
+    "caller_left": ("leaving", "grace_period_over"),
+    "caller_lost": ("leaving", "grace_period_over"),
+    "cut_off": ("leaving", "grace_period_over", "stopped"),
+    "handler_error": ("connection_failed",),
 }
 
+# Events that concern only requests of the node that logged them.
+EVENTS_OF_ONE_NODE = frozenset(
+    {"leaving", "grace_period_over", "stopped", "connection_failed"}
+)
+
 OUTCOME_SENTENCES: Mapping[str, str] = {
     "answered": "An engine's answer was passed on.",
     "caller_left": "The caller left before its answer was complete.",
     "caller_lost": "The caller's connection broke while it was answered.",
+    "cut_off": "The node ended it when its process stopped.",
+    "handler_error": "The node failed to handle it, which is a defect.",
     "refused_no_place": "No engine could take its adapter in time; not run.",
     "refused_no_owner": "Its adapter was absent and no node gave orders; "
     "not run.",
@@ -53,6 +64,11 @@
 }
 
 
+LEFT_ENGINE_SENTENCE = (
+    "The node left its engine, and it could not go on elsewhere."
+)
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Explanation:
@@ -110,6 +126,8 @@
     for prefix in sorted(OUTCOME_SENTENCES, key=len, reverse=True):
         if outcome.startswith(prefix):
             sentence = OUTCOME_SENTENCES[prefix]
+            if prefix == "broken_off" and _left_its_engine(line):
+                sentence = LEFT_ENGINE_SENTENCE
             break
     else:
         sentence = f"It ended as {outcome}."
@@ -119,6 +137,11 @@
     return sentence
 
 
+def _left_its_engine(line: LogLine) -> bool:
+    """Returns whether the node left the engine that it was sent to last."""
+    return str(line.get("engine_end", "")).startswith("left_")
+
+
 def _find_related_events(
     lines: list[LogLine], request: LogLine, outcome: str
 ) -> list[LogLine]:
@@ -133,6 +156,11 @@
     for line in lines:
         if line["event"] not in cause_events:
             continue
+        if (
+            line["event"] in EVENTS_OF_ONE_NODE
+            and line["node"] != request["node"]
+        ):
+            continue
         if (
             not end_time - MAX_TIME_BEFORE_END
             <= _parse_time(line)
--- a/packages/dogwoodctl/testing/test_log_explanation.py
+++ b/packages/dogwoodctl/testing/test_log_explanation.py
@@ -54,6 +54,43 @@
     assert [line["event"] for line in explanation.related_events] == [event]
 
 
+def test_stream_that_left_its_engine_is_not_blamed_on_the_engine() -> None:
+    line = make_log_line(
+        9,
+        "request",
+        outcome="broken_off_unknown",
+        engine_end="left_silent",
+        **REQUEST,
+    )
+    explanation = log_explanation.explain(log_explanation.parse([line]), "r1")
+    assert explanation is not None
+    assert "The node left its engine" in explanation.sentence
+
+
+@pytest.mark.parametrize(
+    ("outcome", "event", "sentence"),
+    [
+        ("cut_off", "grace_period_over", "The node ended it"),
+        ("handler_error", "connection_failed", "a defect"),
+        ("caller_left", "leaving", "The caller left"),
+    ],
+    ids=["cut_off", "handler_error", "caller_left"],
+)
+def test_end_by_a_node_is_explained_by_its_own_lines(
+    outcome: str, event: str, sentence: str
+) -> None:
+    logs = [
+        make_log_line(9, "request", outcome=outcome, request="r1"),
+        make_log_line(8, event),
+        make_log_line(8, event).replace('"n1"', '"n2"'),
+    ]
+    explanation = log_explanation.explain(log_explanation.parse(logs), "r1")
+    assert explanation is not None
+    assert sentence in explanation.sentence
+    (related,) = explanation.related_events
+    assert (related["event"], related["node"]) == (event, "n1")
+
+
 def test_events_of_other_engines_and_times_are_excluded() -> None:
     logs = [
         make_log_line(30, "request", outcome="broken_off_unknown", **REQUEST),
