--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -110,6 +110,7 @@
                         ) from error
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
+                call.engine_end = error.engine_end
                 call.add_step(f"broken {selection.engine.engine_id}: {error}")
                 selection = relay.take_prepared_selection()
                 if selection is None and not (
