A node drains connections, not only the requests it has begun to read

What callers saw: a request whose bytes had been received at the moment the listener closed was passed on to its engine, and the connection was reset without an answer because the process ended.

Cause: a request counts as active once its head has been parsed. With no other request active, the wait for `no_active_requests` returned without a turn of the event loop, and leave() ended the process while the request's task had just begun. A connection accepted in the same turn was dropped the same way.

Ruled out: a request that is answered without waiting (404) got through before; the remaining turns of the event loop were enough for that.

Change: Server.drain() closes the listener, gives accepted connections 100 ms for their request, closes those without one and waits until the tasks of all connections have ended. `no_active_requests` is no longer needed; the two tests that used it wait for drain() or for the tasks, which end later than the event was set.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -25,6 +25,10 @@
 LINGER_BYTES = 256 * 1024
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 
+# Callers send their first request as soon as they are connected. Connections
+# that were accepted just before the listener closes are kept for this time.
+FIRST_REQUEST_DELAY = datetime.timedelta(milliseconds=100)
+
 MAX_BODY_BUFFER_BYTES = 48 * 1024 * 1024  # a sixth of a small host's memory
 
 
@@ -159,7 +163,6 @@
         leaving: set once the server shuts down: responses carry
             `Connection: close`.
         active: number of requests being read or served.
-        no_active_requests: set while no request is being read or served.
         buffered_bytes: size of all request bodies in memory.
         connections: all connections, including closed ones that still have
             data to send.
@@ -178,8 +181,6 @@
         self.report = report
         self.leaving = asyncio.Event()
         self.active = 0
-        self.no_active_requests = asyncio.Event()
-        self.no_active_requests.set()
         self.buffered_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: weakref.WeakSet[connection_lib.Connection] = (
@@ -209,6 +210,19 @@
             if not connection.received_while_idle:
                 connection.close()
 
+    async def drain(self) -> None:
+        """Stops accepting and waits until all responses have been sent.
+
+        Connections that were accepted before are served first, also if their
+        request has not been read yet.
+        """
+        self.stop_accepting()
+        await asyncio.sleep(FIRST_REQUEST_DELAY.total_seconds())
+        self.close_idle()
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+        await self.wait_until_sent()
+
     async def wait_until_sent(self) -> None:
         """Waits until all responses have been passed to the kernel."""
         for found in tuple(self.connections):
@@ -271,13 +285,10 @@
         if head is None:
             return False
         self.active += 1
-        self.no_active_requests.clear()
         try:
             return await self._serve_request(connection, head, limits)
         finally:
             self.active -= 1
-            if not self.active:
-                self.no_active_requests.set()
 
     async def _serve_request(
         self,
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -116,12 +116,13 @@
     async with asyncio.timeout(5):
         while not harness.server.active:
             await asyncio.sleep(0.001)
-        assert not harness.server.no_active_requests.is_set()
         harness.server.leave()
-        harness.server.close_idle()
+        draining = asyncio.create_task(harness.server.drain())
+        await asyncio.sleep(2 * server_lib.FIRST_REQUEST_DELAY.total_seconds())
+        assert not draining.done()
         writer.write(b"body")
         answer = await reader.read()
-        await harness.server.no_active_requests.wait()
+        await draining
     writer.close()
     assert answer.endswith(b"done")
 
@@ -135,9 +136,8 @@
     writer.write(REQUEST % 1)
     harness.server.leave()
     async with asyncio.timeout(5):
-        while not harness.targets:
+        while not harness.targets or harness.server.tasks:
             await asyncio.sleep(0.001)
-        await harness.server.no_active_requests.wait()
     waiting = asyncio.create_task(harness.server.wait_until_sent())
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(0.1):
@@ -148,3 +148,31 @@
         await waiting
     writer.close()
     assert len(answer) > len(LARGE_BODY)
+
+
+async def test_caller_connected_as_the_listener_closes_is_served(
+    harness: ServerHarness,
+) -> None:
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    harness.server.leave()
+    draining = asyncio.create_task(harness.server.drain())
+    await asyncio.sleep(server_lib.FIRST_REQUEST_DELAY.total_seconds() / 2)
+    writer.write(REQUEST % 1)
+    async with asyncio.timeout(5):
+        answer = await reader.read()
+        await draining
+    writer.close()
+    assert answer.endswith(b"done")
+
+
+async def test_drain_closes_connections_without_a_request(
+    harness: ServerHarness,
+) -> None:
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    harness.server.leave()
+    async with asyncio.timeout(5):
+        await harness.server.drain()
+        assert await reader.read() == b""
+    writer.close()
