Shutdown keeps connections with unread or half-received requests

What callers saw: a request that had reached the host when SIGTERM was handled was reset if the event loop had not read it yet, or if only a part of its head had been received. The busier the node, the longer that span.

Cause: close_idle() looked at `unparsed_bytes`. It does not count what the kernel holds, and it is set to 0 when the parser asks for more data, so a half-received head counted as idle.

Evidence: test_unread_request_at_shutdown_is_answered and test_half_received_head_at_shutdown_is_answered failed before with a reset.

Change: a connection is closed as idle only if its parser holds no bytes and a poll of its socket finds none.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from typing import TypeAlias, cast, final
 
@@ -218,13 +219,25 @@
 
     @property
     def unread_bytes(self) -> bool:
-        """True if bytes have arrived after the end of the message."""
+        """True if bytes have arrived that belong to no parsed message."""
         return bool(self.parser.trailing_data[0])
 
-    @property
-    def received_while_idle(self) -> bool:
-        """True if bytes have arrived while no request was in progress."""
-        return self.unparsed_bytes > 0
+    def has_received(self) -> bool:
+        """Returns whether bytes or a close wait to be parsed or read.
+
+        Includes those that the kernel has received and the event loop has not
+        read yet.
+        """
+        if self.unread_bytes:
+            return True
+        if self.transport is None:
+            return False
+        raw = self.transport.get_extra_info("socket")
+        if raw is None or raw.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     @property
     def all_sent(self) -> bool:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -125,10 +125,7 @@
         while self.idle:
             # The most recently used first, so that the others expire.
             idle_connection = self.idle.pop()
-            if (
-                idle_connection.lost.is_set()
-                or idle_connection.received_while_idle
-            ):
+            if idle_connection.lost.is_set() or idle_connection.unread_bytes:
                 idle_connection.abort()
                 continue
             if now - idle_connection.idle_since > max_idle.total_seconds():
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -203,11 +203,12 @@
     def close_idle(self) -> None:
         """Closes the connections without a request in progress.
 
-        A connection that has received data which its task has not read yet
-        stays open; its response carries `Connection: close`.
+        A connection that has received data stays open, also if only a part of
+        the head has arrived or its task has not read it yet; its response
+        carries `Connection: close`.
         """
         for connection in tuple(self.idle):
-            if not connection.received_while_idle:
+            if not connection.has_received():
                 connection.close()
 
     async def drain(self) -> None:
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -81,6 +81,41 @@
     assert answer.endswith(b"done")
 
 
+async def test_unread_request_at_shutdown_is_answered(
+    harness: ServerHarness,
+) -> None:
+    """A request that the kernel has received must not be reset as idle."""
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    writer.write(REQUEST % 1)  # sends at once; the server has no turn to read
+    harness.server.leave()
+    harness.server.close_idle()
+    async with asyncio.timeout(5):
+        answer = await reader.read()
+    writer.close()
+    assert b"connection: close" in answer.lower()
+    assert answer.endswith(b"done")
+
+
+async def test_half_received_head_at_shutdown_is_answered(
+    harness: ServerHarness,
+) -> None:
+    reader, writer = await harness.connect()
+    connection = await harness.idle_connection()
+    request = REQUEST % 1
+    writer.write(request[:20])
+    async with asyncio.timeout(5):
+        while not connection.unread_bytes:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)  # the parser asks for more data
+        harness.server.leave()
+        harness.server.close_idle()
+        writer.write(request[20:])
+        answer = await reader.read()
+    writer.close()
+    assert answer.endswith(b"done")
+
+
 async def test_request_on_a_closed_connection_is_not_run(
     harness: ServerHarness,
 ) -> None:
