Responses begun during a shutdown announce the close of their connection

What callers saw: the response to a request that was in progress at SIGTERM did not say `Connection: close`, and its connection was closed right after it. A next request on this connection was reset; one that the process had already read was dropped.

Cause: whether the response announces the close was decided when the handler was called, not when the head was sent.

Evidence: test_response_begun_during_shutdown_announces_the_close and test_next_request_after_an_unannounced_close_is_answered failed before.

Change: Reply decides when it queues the head. After a response that had begun before the shutdown, a request that has arrived is served, with `Connection: close`; without one the connection closes as before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -83,7 +83,8 @@
     """Sends the response to one request.
 
     Attributes:
-        close_after: whether the connection closes after this response.
+        close_after: whether the response announces that the connection
+            closes after it; decided when the head is queued.
         begun: whether the head has been queued.
         finished: whether the complete response has been queued.
         status: the status of the response; 0 before the head.
@@ -91,10 +92,14 @@
     """
 
     def __init__(
-        self, connection: connection_lib.Connection, *, close_after: bool
+        self,
+        connection: connection_lib.Connection,
+        *,
+        must_close: Callable[[], bool],
     ) -> None:
         self.connection = connection
-        self.close_after = close_after
+        self.must_close = must_close
+        self.close_after = False
         self.begun = False
         self.finished = False
         self.status = 0
@@ -104,6 +109,7 @@
         self, status: int, headers: list[Header], *, reason: bytes = b""
     ) -> None:
         """Queues the head of the response."""
+        self.close_after = self.must_close()
         if self.close_after:
             headers = [*headers, (b"Connection", b"close")]
         self.status = status
@@ -160,8 +166,8 @@
 
     Attributes:
         limits: returns the current limits; called for each request.
-        leaving: set once the server shuts down: responses carry
-            `Connection: close`.
+        leaving: set once the server shuts down: responses begun from then on
+            carry `Connection: close`.
         active: number of requests being read or served.
         buffered_bytes: size of all request bodies in memory.
         connections: all connections, including closed ones that still have
@@ -300,7 +306,7 @@
         request = await self._read_request(connection, head, limits)
         if request is None:
             return False
-        reply = Reply(connection, close_after=self.leaving.is_set())
+        reply = Reply(connection, must_close=self.leaving.is_set)
         task = asyncio.current_task()
         try:
             if connection.lost.is_set():
@@ -320,7 +326,9 @@
         if not reply.finished:
             reply.break_off()
             return False
-        if reply.close_after or self.leaving.is_set():
+        if reply.close_after:
+            return False
+        if self.leaving.is_set() and not connection.has_received():
             return False
         return connection.start_next_message()
 
@@ -401,7 +409,7 @@
         self, connection: connection_lib.Connection, status: int
     ) -> None:
         self.report("request_rejected", {"status": status})
-        reply = Reply(connection, close_after=True)
+        reply = Reply(connection, must_close=lambda: True)
         try:
             reply.answer(status, [])
         except (errors.HttpError, h11.LocalProtocolError):
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -22,6 +22,10 @@
     def __init__(self) -> None:
         self.targets: list[bytes] = []
         self.body = b"done"
+        self.may_begin = asyncio.Event()
+        self.may_begin.set()
+        self.may_finish = asyncio.Event()
+        self.may_finish.set()
         self.server = server_lib.Server(
             handler=self.handle,
             limits=server_lib.Limits,
@@ -31,9 +35,22 @@
     async def handle(
         self, request: server_lib.RawRequest, reply: server_lib.Reply
     ) -> None:
-        """Responds at once."""
+        """Responds as soon as `may_begin` and `may_finish` are set."""
         self.targets.append(request.target)
-        reply.answer(200, [], self.body)
+        await self.may_begin.wait()
+        if self.may_finish.is_set():
+            reply.answer(200, [], self.body)
+            return
+        reply.begin(200, [(b"Content-Length", b"%d" % len(self.body))])
+        await self.may_finish.wait()
+        await reply.write(self.body)
+        reply.finish()
+
+    async def wait_for_target(self) -> None:
+        """Waits until a request has reached the handler."""
+        async with asyncio.timeout(5):
+            while not self.targets:
+                await asyncio.sleep(0.001)
 
     async def connect(
         self,
@@ -211,3 +228,39 @@
         await harness.server.drain()
         assert await reader.read() == b""
     writer.close()
+
+
+async def test_response_begun_during_shutdown_announces_the_close(
+    harness: ServerHarness,
+) -> None:
+    """A caller that is not told sends its next request into the close."""
+    harness.may_begin.clear()
+    reader, writer = await harness.connect()
+    writer.write(REQUEST % 1)
+    await harness.wait_for_target()
+    harness.server.leave()
+    harness.may_begin.set()
+    async with asyncio.timeout(5):
+        answer = await reader.read()
+    writer.close()
+    assert b"connection: close" in answer.lower()
+    assert answer.endswith(b"done")
+
+
+async def test_next_request_after_an_unannounced_close_is_answered(
+    harness: ServerHarness,
+) -> None:
+    """The response before it had begun before the shutdown."""
+    harness.may_finish.clear()
+    reader, writer = await harness.connect()
+    writer.write(REQUEST % 1)
+    await harness.wait_for_target()
+    harness.server.leave()
+    writer.write(REQUEST % 2)
+    harness.may_finish.set()
+    async with asyncio.timeout(5):
+        answer = await reader.read()
+    writer.close()
+    assert harness.targets == [b"/1", b"/2"]
+    assert answer.count(b"done") == 2
+    assert answer.lower().count(b"connection: close") == 1
