Requests without a response at the end of the grace period get a status

What callers saw: a request that was still waiting for its engine, or for a place at one, when the grace period ended had its connection reset. Its log line had the outcome `caller_left`.

Cause: leave() ended the process, which cancelled the connections' tasks.

Evidence: test_unanswered_request_gets_a_status_when_the_grace_period_ends failed before: status 0.

Ruled out: streams that have begun; they can only be broken off, as before, and their outcome now says so (`broken_off_shutdown`).

Change: Handler.stop() lets the timeouts of all requests in progress expire, so they end on the path of a timed out request: 504, or 503 if nothing was sent. Requests that are read later are rejected and not passed on.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -34,6 +34,8 @@
     Attributes:
         active: number of requests in progress, by adapter.
         begun: number of requests started, by adapter.
+        timeouts: the timeouts of all requests in progress.
+        stopped: whether `stop` was called.
     """
 
     def __init__(
@@ -58,6 +60,19 @@
         self.request_metrics = request_metrics
         self.active: dict[models.AdapterKey, int] = {}
         self.begun: dict[models.AdapterKey, int] = {}
+        self.timeouts: set[asyncio.Timeout] = set()
+        self.stopped = False
+
+    def stop(self) -> None:
+        """Ends all requests in progress as if they had timed out.
+
+        A response that has begun is broken off. Later requests are rejected.
+        """
+        self.stopped = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self.timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
 
     async def handle(self, raw: server.RawRequest, reply: server.Reply) -> None:
         """Serves one request; see `http1.server.Handler`."""
@@ -125,8 +140,12 @@
             self._log(call, reply, outcome)
 
     async def _forward(self, call: call_lib.Call, reply: server.Reply) -> str:
+        timeout = asyncio.timeout_at(call.gateway_timeout_at)
+        self.timeouts.add(timeout)
         try:
-            async with asyncio.timeout_at(call.gateway_timeout_at):
+            if self.stopped:
+                raise TimeoutError
+            async with timeout:
                 if call.request.adapter is None:
                     await self.plain.forward(call, reply)
                 else:
@@ -136,15 +155,18 @@
         except errors.OutcomeUnknownError:
             return self._end_outcome_unknown(call, reply, 502, "unknown")
         except TimeoutError:
+            reason = "shutdown" if self.stopped else "timed_out"
             if call.tried_engines:
-                return self._end_outcome_unknown(call, reply, 504, "timed_out")
+                return self._end_outcome_unknown(call, reply, 504, reason)
             refusal = errors.RequestRejectedError(
-                "timed_out_unsent", retry_after=datetime.timedelta(seconds=1)
+                f"{reason}_unsent", retry_after=datetime.timedelta(seconds=1)
             )
             return self._reject(call, reply, refusal)
         except (http_errors.ConnectionLostError, h11.LocalProtocolError):
             reply.break_off()
             return "caller_lost"
+        finally:
+            self.timeouts.discard(timeout)
         return "answered"
 
     def _reject(
