A request that is read as its connection expires is answered

What callers saw: a connection was closed although the process had read the whole request from it.

Cause: when the event loop reads the data and finds the timeout expired in the same turn, asyncio.timeout cancels the task before it parses the data. This takes a turn longer than usual: a busy node or a used-up CPU quota. The same holds for the last part of a body.

Evidence: test_request_that_is_read_as_its_connection_expires_is_answered and test_body_that_is_read_as_its_connection_expires_is_answered failed before.

Ruled out: callers that reuse a connection within four fifths of the idle limit reach its end only if the node is late by a fifth of the limit and the head's timeout; the request is not passed on to an engine either.

Change: after the timeout, what has been received is parsed once more. test_idle_connection_without_data_expires and test_half_received_head_expires hold before and after.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -157,6 +157,27 @@
         )
 
 
+async def _next_event(
+    connection: connection_lib.Connection, timeout: datetime.timedelta
+) -> connection_lib.MessageEvent:
+    """Returns the next event of a request.
+
+    Raises:
+        ConnectionLostError: the connection ended before the message did.
+        ProtocolError: the received bytes are not valid HTTP.
+        TimeoutError: the event was not received in time.
+    """
+    deadline = asyncio.get_running_loop().time() + timeout.total_seconds()
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await connection.next_event()
+    except TimeoutError:
+        # The event may have been received in the turn of the event loop in
+        # which the timeout expired.
+        async with asyncio.timeout_at(deadline):
+            return await connection.next_event()
+
+
 Handler = Callable[[RawRequest, Reply], Awaitable[None]]
 
 
@@ -362,8 +383,7 @@
         self.idle.add(connection)
         wait = limits.idle_timeout + limits.head_timeout
         try:
-            async with asyncio.timeout(wait.total_seconds()):
-                event = await connection.next_event()
+            event = await _next_event(connection, wait)
         finally:
             self.idle.discard(connection)
         return event if isinstance(event, h11.Request) else None
@@ -384,8 +404,7 @@
             # There is no limit on the total time of a body, only on the time
             # without data.
             while True:
-                async with asyncio.timeout(limits.idle_timeout.total_seconds()):
-                    event = await connection.next_event()
+                event = await _next_event(connection, limits.idle_timeout)
                 if not isinstance(event, h11.Data):
                     break
                 size += len(event.data)
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import datetime
+import time
 
 import pytest
 
@@ -12,10 +14,20 @@
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: example\r\n\r\n"
 POST = b"POST /1 HTTP/1.1\r\nHost: example\r\nContent-Length: 4\r\n\r\n"
 
+SHORT_LIMITS = server_lib.Limits(
+    head_timeout=datetime.timedelta(seconds=0.1),
+    idle_timeout=datetime.timedelta(seconds=0.1),
+)
+
 # Exceeds the socket buffers of the kernel for a caller that does not read.
 LARGE_BODY = b"x" * (64 * 1024 * 1024)
 
 
+def stall_event_loop() -> None:
+    """Lets the next turn find data and timeouts of `SHORT_LIMITS` together."""
+    time.sleep(0.3)
+
+
 class ServerHarness:
     """A server on loopback that records the targets of its requests."""
 
@@ -26,9 +38,10 @@
         self.may_begin.set()
         self.may_finish = asyncio.Event()
         self.may_finish.set()
+        self.limits = server_lib.Limits()
         self.server = server_lib.Server(
             handler=self.handle,
-            limits=server_lib.Limits,
+            limits=lambda: self.limits,
             report=lambda event, fields: None,
         )
 
@@ -264,3 +277,56 @@
     assert harness.targets == [b"/1", b"/2"]
     assert answer.count(b"done") == 2
     assert answer.lower().count(b"connection: close") == 1
+
+
+async def test_request_that_is_read_as_its_connection_expires_is_answered(
+    harness: ServerHarness,
+) -> None:
+    """Regression: the timeout won although the request had been read."""
+    harness.limits = SHORT_LIMITS
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    writer.write(REQUEST % 1)
+    stall_event_loop()
+    async with asyncio.timeout(5):
+        answer = await reader.readexactly(len(b"HTTP/1.1 200"))
+    writer.close()
+    assert answer == b"HTTP/1.1 200"
+    assert harness.targets == [b"/1"]
+
+
+async def test_body_that_is_read_as_its_connection_expires_is_answered(
+    harness: ServerHarness,
+) -> None:
+    harness.limits = SHORT_LIMITS
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    writer.write(POST)
+    async with asyncio.timeout(5):
+        while not harness.server.active:
+            await asyncio.sleep(0.001)
+    writer.write(b"body")
+    stall_event_loop()
+    async with asyncio.timeout(5):
+        answer = await reader.readexactly(len(b"HTTP/1.1 200"))
+    writer.close()
+    assert answer == b"HTTP/1.1 200"
+
+
+async def test_idle_connection_without_data_expires(
+    harness: ServerHarness,
+) -> None:
+    harness.limits = SHORT_LIMITS
+    reader, writer = await harness.connect()
+    async with asyncio.timeout(5):
+        assert await reader.read() == b""
+    writer.close()
+
+
+async def test_half_received_head_expires(harness: ServerHarness) -> None:
+    harness.limits = SHORT_LIMITS
+    reader, writer = await harness.connect()
+    writer.write((REQUEST % 1)[:20])
+    async with asyncio.timeout(5):
+        assert await reader.read() == b""
+    writer.close()
