Idle connections follow the limits of the newest configuration

What callers saw: after a configuration with a longer idle time, connections that were idle when it was applied were closed by the old idle time, at which callers still reuse them; their next request was checked against the old maximum size of a body.

Cause: the limits were read before the wait for the next request.

Evidence: test_new_limits_apply_to_idle_connections failed before.

Ruled out as a broken rule: a request that crosses such a close is not read and not passed on.

Change: the limits of a request are read once its head has arrived, and an idle connection expires only by the limits in force at that time. The maximum size of a head still is that of the time of the connection.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -158,16 +158,19 @@
 
 
 async def _next_event(
-    connection: connection_lib.Connection, timeout: datetime.timedelta
+    connection: connection_lib.Connection, deadline: float
 ) -> connection_lib.MessageEvent:
     """Returns the next event of a request.
 
+    Args:
+        connection: the caller's connection.
+        deadline: loop time by which the event must be received.
+
     Raises:
         ConnectionLostError: the connection ended before the message did.
         ProtocolError: the received bytes are not valid HTTP.
         TimeoutError: the event was not received in time.
     """
-    deadline = asyncio.get_running_loop().time() + timeout.total_seconds()
     try:
         async with asyncio.timeout_at(deadline):
             return await connection.next_event()
@@ -304,9 +307,8 @@
             connection.close()
 
     async def _serve_one(self, connection: connection_lib.Connection) -> bool:
-        limits = self.limits()
         try:
-            head = await self._read_head(connection, limits)
+            head = await self._read_head(connection)
         except errors.ProtocolError as error:
             await self._reject(connection, error.status)
             return False
@@ -314,7 +316,7 @@
             return False
         self.active += 1
         try:
-            return await self._serve_request(connection, head, limits)
+            return await self._serve_request(connection, head)
         finally:
             self.active -= 1
 
@@ -322,9 +324,8 @@
         self,
         connection: connection_lib.Connection,
         head: h11.Request,
-        limits: Limits,
     ) -> bool:
-        request = await self._read_request(connection, head, limits)
+        request = await self._read_request(connection, head, self.limits())
         if request is None:
             return False
         reply = Reply(connection, must_close=self.leaving.is_set)
@@ -378,12 +379,23 @@
         )
 
     async def _read_head(
-        self, connection: connection_lib.Connection, limits: Limits
+        self, connection: connection_lib.Connection
     ) -> h11.Request | None:
         self.idle.add(connection)
-        wait = limits.idle_timeout + limits.head_timeout
+        began_at = asyncio.get_running_loop().time()
         try:
-            event = await _next_event(connection, wait)
+            event = None
+            while event is None:
+                limits = self.limits()
+                wait = limits.idle_timeout + limits.head_timeout
+                try:
+                    event = await _next_event(
+                        connection, began_at + wait.total_seconds()
+                    )
+                except TimeoutError:
+                    # A newer configuration may allow longer idle times.
+                    if self.limits() == limits:
+                        raise
         finally:
             self.idle.discard(connection)
         return event if isinstance(event, h11.Request) else None
@@ -398,13 +410,15 @@
             connection.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
+        loop = asyncio.get_running_loop()
         parts: list[bytes] = []
         size = 0
         try:
             # There is no limit on the total time of a body, only on the time
             # without data.
             while True:
-                event = await _next_event(connection, limits.idle_timeout)
+                deadline = loop.time() + limits.idle_timeout.total_seconds()
+                event = await _next_event(connection, deadline)
                 if not isinstance(event, h11.Data):
                     break
                 size += len(event.data)
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import datetime
 import time
 
@@ -330,3 +331,19 @@
     async with asyncio.timeout(5):
         assert await reader.read() == b""
     writer.close()
+
+
+async def test_new_limits_apply_to_idle_connections(
+    harness: ServerHarness,
+) -> None:
+    """Callers reuse connections, and send bodies, by the newest limits."""
+    harness.limits = dataclasses.replace(SHORT_LIMITS, body_bytes=1)
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    harness.limits = server_lib.Limits()
+    await asyncio.sleep(0.3)
+    writer.write(POST + b"body")
+    async with asyncio.timeout(5):
+        answer = await reader.readexactly(len(b"HTTP/1.1 200"))
+    writer.close()
+    assert answer == b"HTTP/1.1 200"
