Requests that end half received are logged

What operators saw: no line for a request of which a head or body had been received in part before its connection ended or expired; OPERATIONS.md names `request_unfinished` for it.

Cause: the event was written only if `unparsed_bytes` was not 0, and that is set to 0 whenever the parser asks for more data, so in these cases it always was.

Change: the event is written if the parser holds bytes of a message or has begun one. Its reason is never empty.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -222,6 +222,14 @@
         """True if bytes have arrived that belong to no parsed message."""
         return bool(self.parser.trailing_data[0])
 
+    @property
+    def mid_message(self) -> bool:
+        """True if a message of the peer has begun and is not answered yet."""
+        return self.unread_bytes or self.parser.their_state not in (
+            h11.IDLE,
+            h11.CLOSED,
+        )
+
     def has_received(self) -> bool:
         """Returns whether bytes or a close wait to be parsed or read.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -287,9 +287,10 @@
                 pass
         except (errors.HttpError, TimeoutError) as error:
             # Callers may disconnect at any time. This is logged only if a
-            # request was incomplete.
-            if connection.unparsed_bytes:
-                self.report("request_unfinished", {"reason": str(error)})
+            # request had begun.
+            if connection.mid_message:
+                reason = str(error) or "timed out"
+                self.report("request_unfinished", {"reason": reason})
         except asyncio.CancelledError:
             connection.abort()
             raise
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -34,6 +34,7 @@
 
     def __init__(self) -> None:
         self.targets: list[bytes] = []
+        self.events: list[tuple[str, dict[str, object]]] = []
         self.body = b"done"
         self.may_begin = asyncio.Event()
         self.may_begin.set()
@@ -43,7 +44,7 @@
         self.server = server_lib.Server(
             handler=self.handle,
             limits=lambda: self.limits,
-            report=lambda event, fields: None,
+            report=lambda event, fields: self.events.append((event, fields)),
         )
 
     async def handle(
@@ -347,3 +348,33 @@
         answer = await reader.readexactly(len(b"HTTP/1.1 200"))
     writer.close()
     assert answer == b"HTTP/1.1 200"
+
+
+@pytest.mark.parametrize(
+    ("sent", "event"),
+    [
+        ((REQUEST % 1)[:20], "request_unfinished"),
+        (POST, "request_unfinished"),
+        (POST + b"bo", "request_unfinished"),
+        (b"", None),
+        (REQUEST % 1, None),
+    ],
+    ids=["half_head", "no_body", "half_body", "nothing", "complete"],
+)
+@pytest.mark.parametrize("closes", [True, False], ids=["closed", "expired"])
+async def test_unfinished_request_is_logged(
+    harness: ServerHarness, sent: bytes, event: str | None, closes: bool
+) -> None:
+    harness.limits = SHORT_LIMITS
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    writer.write(sent)
+    async with asyncio.timeout(5):
+        await asyncio.sleep(0.02)
+        if closes:
+            writer.close()
+        while harness.server.tasks:
+            await asyncio.sleep(0.001)
+    writer.close()
+    assert [name for name, _ in harness.events] == [event] * bool(event)
+    assert all(fields["reason"] for _, fields in harness.events)
