A request on which the node fails gets an answer and a log line

Callers saw: the connection closed without an answer, although the request had been or could still have been passed on; the log had only 'caller_left' or 'caller_lost' with status 0 (or 200, if the response head could not be sent). Cause: the handler took every h11.LocalProtocolError for a lost caller and let all other errors, among them errors.ProtocolError of Connection.send, pass to the server, which aborts the connection. Reply.begin counted a head as begun that was never sent, so no other status could follow. Evidence: the tests see no status on the code before, and 502 or 503 now. Ruled out: a lost caller, which is always a ConnectionLostError; the timeout and the engine's failures, which have their own answers. The 503 is given only if the request was sent to no engine.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -4,10 +4,9 @@
 from collections.abc import Callable
 import datetime
 import random
+import traceback
 from typing import final
 
-import h11
-
 from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.gateway import call as call_lib
@@ -25,6 +24,7 @@
 RETRY_JITTER = 0.5
 
 NO_CONFIGURATION_RETRY_DELAY = datetime.timedelta(seconds=1)
+INTERNAL_ERROR_RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
 @final
@@ -142,9 +142,11 @@
                 "timed_out_unsent", retry_after=datetime.timedelta(seconds=1)
             )
             return self._reject(call, reply, refusal)
-        except (http_errors.ConnectionLostError, h11.LocalProtocolError):
+        except http_errors.ConnectionLostError:
             reply.break_off()
             return "caller_lost"
+        except Exception as error:
+            return self._end_failed(call, reply, error)
         return "answered"
 
     def _reject(
@@ -178,6 +180,27 @@
         reply.answer(status, headers)
         return f"failed_{outcome_detail}"
 
+    def _end_failed(
+        self, call: call_lib.Call, reply: server.Reply, error: Exception
+    ) -> str:
+        """Ends a request on which this node failed, with a true status."""
+        self.events.write(
+            "request_failed",
+            {
+                "request": call.request.request_id,
+                "error": f"{type(error).__name__}: {error}",
+                "traceback": traceback.format_exc(),
+            },
+        )
+        if reply.finished:
+            return "answered"
+        if call.tried_engines:
+            return self._end_outcome_unknown(call, reply, 502, "internal")
+        rejection = errors.RequestRejectedError(
+            "internal", retry_after=INTERNAL_ERROR_RETRY_DELAY
+        )
+        return self._reject(call, reply, rejection)
+
     def _record_start(self, key: models.AdapterKey | None) -> None:
         if key is None or not key.adapter:
             return
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -102,11 +102,11 @@
         """Queues the head of the response."""
         if self.close_after:
             headers = [*headers, (b"Connection", b"close")]
-        self.status = status
-        self.begun = True
         self.connection.send(
             h11.Response(status_code=status, headers=headers, reason=reason)
         )
+        self.status = status
+        self.begun = True
 
     async def write(self, data: bytes) -> None:
         """Queues a part of the body and waits for buffer space."""
