A slow endpoint is waited for while another one is tried

Callers saw: a 502 after a quarter of the time of an idempotent request although its endpoint was at work and would have answered in time. Cause: the endpoint was left after that time before it was known whether another one serves and whether a retry is granted; without either, or if the other endpoint refused the request or could not be reached, the request ended. Ruled out: requests that may not run twice, which were always waited for; the connect timeout, which is longer than that quarter at short deadlines and so counted an endpoint that got nothing as one that may have run the request. The request is now sent to the other endpoint without leaving the slow one, and the first response ends the other attempt. Only complete or long responses reach the caller, so that no two are joined. A retry is taken as before: only if another healthy endpoint serves, and from the same budget; the response is not held while the leader is asked for one.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -110,8 +110,10 @@
         )
 
     def mark_unreachable(self, engine_id: str) -> None:
-        """Records that nothing could be sent to the engine tried last."""
-        self.tried_engines.pop()
+        """Records that nothing could be sent to an engine that was tried."""
+        latest_first = self.tried_engines[::-1]
+        latest_first.remove(engine_id)
+        self.tried_engines = latest_first[::-1]
         self.unreachable_engines.add(engine_id)
 
     def record_event(self) -> None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -1,13 +1,19 @@
 """Forwards requests to plain services, whose responses are not streamed.
 
-Load pattern: a service with few slots whose endpoints fail occasionally. A
-response is buffered before it is forwarded, so that an idempotent request can
-still be sent to another endpoint if the response is interrupted.
+Load patterns: a service with few slots whose endpoints fail occasionally;
+endpoints that turn slow, or that stop responding, while others are full.
+
+A response is buffered before it is forwarded, so that an idempotent request can
+still be sent to another endpoint if the response is interrupted. An endpoint
+that is slow is waited for while another one is tried: the other one may refuse
+the request, and the slow one may still be the first to respond.
 """
 
 import asyncio
+from collections.abc import AsyncIterator, Coroutine
+import dataclasses
 import random
-from typing import final
+from typing import Any, final
 
 from _dogwoodhinge.fleet import engine_selection
 from _dogwoodhinge.fleet import engines as engines_lib
@@ -23,10 +29,64 @@
 # Longer responses are forwarded while they arrive.
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 
-# An idempotent request is sent to another endpoint if there is no response
+# An idempotent request is also sent to another endpoint if there is no response
 # after this fraction of the remaining time, which is several times as long as
 # nearly all requests take.
-FIRST_ATTEMPT_FRACTION = 0.25
+SLOW_FRACTION = 0.25
+
+# Remaining time, in seconds, below which no other endpoint is tried: a response
+# takes tens of milliseconds.
+MIN_SECONDS_TO_RETRY = 0.05
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchedResponse:
+    """A response whose beginning, or whole, has been read.
+
+    Attributes:
+        engine: the endpoint.
+        response: the response.
+        parts: what has been read of the body.
+        rest: what has not been read.
+    """
+
+    engine: engines_lib.Engine
+    response: sender_lib.OpenResponse
+    parts: list[bytes]
+    rest: AsyncIterator[bytes]
+
+    @property
+    def failed(self) -> bool:
+        """True if the endpoint responded with a server error."""
+        return self.response.head.status >= 500
+
+
+@final
+class Attempt:
+    """One send of a request to an endpoint.
+
+    Attributes:
+        slow: whether the endpoint has been found slow to respond.
+    """
+
+    def __init__(
+        self,
+        engine: engines_lib.Engine,
+        fetching: Coroutine[Any, Any, FetchedResponse],
+    ) -> None:
+        self.engine = engine
+        self.task = asyncio.ensure_future(fetching)
+        self.slow = False
+        engine.running += 1
+
+    def close(self) -> None:
+        """Ends the attempt; must be called once."""
+        self.engine.running -= 1
+        if self.task.cancel() or self.task.cancelled():
+            return
+        if self.task.exception() is None:
+            self.task.result().response.close()
 
 
 @final
@@ -55,34 +115,147 @@
             RequestRejectedError: the request did not run.
             OutcomeUnknownError: the request may have run.
         """
+        attempts: list[Attempt] = []
+        try:
+            fetched = await self._fetch(call, attempts)
+            await self._relay(call, fetched, reply)
+        finally:
+            for attempt in attempts:
+                attempt.close()
+
+    async def _fetch(
+        self, call: call_lib.Call, attempts: list[Attempt]
+    ) -> FetchedResponse:
+        """Returns the first response of an endpoint that is not a failure.
+
+        Args:
+            call: the request.
+            attempts: the attempts in progress. Those that are left when this
+                returns have to be closed.
+
+        Raises:
+            RequestRejectedError: the request did not run.
+            OutcomeUnknownError: the request may have run.
+        """
+        may_send = True
+        error: errors.GatewayError | None = None
         while True:
-            engine = self._choose(call)
-            if engine is None:
-                raise errors.RequestRejectedError(
-                    "no_endpoint",
-                    retry_after=engine_finder.NO_ENGINE_RETRY_DELAY,
-                )
+            engine = self._choose(call) if may_send else None
+            if engine is not None:
+                call.tried_engines.append(engine.engine_id)
+                attempts.append(Attempt(engine, self._fetch_from(call, engine)))
+            elif not attempts:
+                if error is None or isinstance(error, errors.NotRunError):
+                    raise _rejection(error) from error
+                raise error
+            attempt = await self._next_ended(call, attempts)
+            if attempt is None:
+                may_send = await self._may_send_beside(call, attempts)
+                continue
             try:
-                if await self._forward_to(call, engine, reply):
-                    return
-            except errors.NotRunError as error:
-                call.add_step(f"not_run {engine.engine_id}: {error}")
-                if error.unreachable:
-                    call.mark_unreachable(engine.engine_id)
-                elif not await call.acquire_retry(self.budget):
-                    raise errors.RequestRejectedError(
-                        "endpoint_refused",
-                        retry_after=engine_finder.NO_ENGINE_RETRY_DELAY,
-                    ) from error
-            except errors.OutcomeUnknownError as error:
-                call.may_have_run = True
-                call.add_step(f"unknown {engine.engine_id}: {error}")
-                if (
-                    reply.begun
-                    or not call.route.repeatable
-                    or not await call.acquire_retry(self.budget)
-                ):
-                    raise
+                fetched = attempt.task.result()
+            except errors.GatewayError as attempt_error:
+                error = attempt_error
+                attempts.remove(attempt)
+                attempt.close()
+                may_send = await self._may_send_after(
+                    attempt_error, attempt.engine, call, attempts
+                )
+                continue
+            if not fetched.response.complete:
+                return fetched
+            attempts.remove(attempt)
+            attempt.close()
+            may_send = (
+                fetched.failed
+                and call.route.repeatable
+                and await self._may_retry(call, attempts)
+            )
+            if not may_send:
+                return fetched
+            call.may_have_run = True
+            call.add_step(
+                f"error {attempt.engine.engine_id}: "
+                f"{fetched.response.head.status}"
+            )
+
+    async def _next_ended(
+        self, call: call_lib.Call, attempts: list[Attempt]
+    ) -> Attempt | None:
+        """Waits for an attempt to end.
+
+        Returns:
+            The attempt, or None if the request may be sent to one more
+            endpoint because those in progress are slow.
+        """
+        wait = None
+        time_left = call.time_left()
+        if (
+            call.route.repeatable
+            and call.may_try_another_engine
+            and time_left > MIN_SECONDS_TO_RETRY
+        ):
+            wait = time_left * SLOW_FRACTION
+        ended, _ = await asyncio.wait(
+            {attempt.task for attempt in attempts},
+            timeout=wait,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return next((a for a in attempts if a.task in ended), None)
+
+    async def _may_send_beside(
+        self, call: call_lib.Call, attempts: list[Attempt]
+    ) -> bool:
+        """Returns whether to send a slow request to one more endpoint."""
+        now = asyncio.get_running_loop().time()
+        latest = attempts[-1]
+        if not latest.slow:
+            latest.slow = True
+            latest.engine.health.record_failure(health_lib.Failure.ERROR, now)
+            call.add_step(f"slow {latest.engine.engine_id}")
+        other = self._choose(call)
+        return (
+            other is not None
+            and not other.health.should_avoid(now)
+            and await self._may_retry(call, attempts)
+        )
+
+    async def _may_send_after(
+        self,
+        error: errors.GatewayError,
+        engine: engines_lib.Engine,
+        call: call_lib.Call,
+        attempts: list[Attempt],
+    ) -> bool:
+        """Returns whether to send the request again after a failed attempt."""
+        if isinstance(error, errors.NotRunError):
+            call.add_step(f"not_run {engine.engine_id}: {error}")
+            if error.unreachable:
+                call.mark_unreachable(engine.engine_id)
+                return not attempts
+            return await self._may_retry(call, attempts)
+        call.may_have_run = True
+        call.add_step(f"unknown {engine.engine_id}: {error}")
+        return call.route.repeatable and await self._may_retry(call, attempts)
+
+    async def _may_retry(
+        self, call: call_lib.Call, attempts: list[Attempt]
+    ) -> bool:
+        """Takes a retry, unless no endpoint is left or an attempt ends."""
+        if self._choose(call) is None:
+            return False
+        in_progress = {attempt.task for attempt in attempts}
+        acquiring = asyncio.ensure_future(call.acquire_retry(self.budget))
+        try:
+            await asyncio.wait(
+                {acquiring, *in_progress},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if any(task.done() for task in in_progress):
+                return False
+            return acquiring.result()
+        finally:
+            acquiring.cancel()
 
     def _choose(self, call: call_lib.Call) -> engines_lib.Engine | None:
         now = asyncio.get_running_loop().time()
@@ -94,95 +267,58 @@
             untried, zone=self.zone, now=now, rng=self.rng
         )
 
-    async def _forward_to(
-        self,
-        call: call_lib.Call,
-        engine: engines_lib.Engine,
-        reply: server.Reply,
-    ) -> bool:
-        """Returns False if the request should go to another endpoint."""
-        loop = asyncio.get_running_loop()
-        call.tried_engines.append(engine.engine_id)
-        engine.running += 1
+    async def _fetch_from(
+        self, call: call_lib.Call, engine: engines_lib.Engine
+    ) -> FetchedResponse:
+        """Sends the request to an endpoint and buffers its response."""
         try:
-            async with asyncio.timeout_at(self._attempt_deadline(call)):
-                response = await self.sender.open(
-                    engine,
-                    call.request,
-                    requests.DispatchParameters(
-                        engine_id=engine.engine_id,
-                        wait_seconds=max(0.001, call.time_left()),
-                    ),
-                    repeatable=call.route.repeatable,
-                )
-                return await self._relay_response(call, engine, response, reply)
-        except TimeoutError as error:
-            engine.health.record_failure(health_lib.Failure.ERROR, loop.time())
-            raise errors.OutcomeUnknownError("no response in time") from error
+            response = await self.sender.open(
+                engine,
+                call.request,
+                requests.DispatchParameters(
+                    engine_id=engine.engine_id,
+                    wait_seconds=max(0.001, call.time_left()),
+                ),
+                repeatable=call.route.repeatable,
+            )
+            try:
+                check_response(response.head)
+                fetched = await _read_beginning(engine, response)
+            except BaseException:
+                response.close()
+                raise
         except errors.GatewayError as error:
-            sender_lib.record_failure(engine, error, loop.time())
+            now = asyncio.get_running_loop().time()
+            sender_lib.record_failure(engine, error, now)
             raise
-        finally:
-            engine.running -= 1
-
-    def _attempt_deadline(self, call: call_lib.Call) -> float:
-        if not call.route.repeatable or not call.may_try_another_engine:
-            return call.gateway_timeout_at
-        return asyncio.get_running_loop().time() + (
-            call.time_left() * FIRST_ATTEMPT_FRACTION
-        )
-
-    async def _relay_response(
-        self,
-        call: call_lib.Call,
-        engine: engines_lib.Engine,
-        response: sender_lib.OpenResponse,
-        reply: server.Reply,
-    ) -> bool:
-        try:
-            return await self._copy_response(call, engine, response, reply)
-        finally:
-            response.close()
+        if response.complete:
+            _record_response(fetched)
+        return fetched
 
-    async def _copy_response(
+    async def _relay(
         self,
         call: call_lib.Call,
-        engine: engines_lib.Engine,
-        response: sender_lib.OpenResponse,
+        fetched: FetchedResponse,
         reply: server.Reply,
-    ) -> bool:
-        loop = asyncio.get_running_loop()
-        head = response.head
-        check_response(head)
-        buffered: list[bytes] = []
-        size = 0
-        async for chunk in response.chunks():
-            size += len(chunk)
-            if size <= MAX_BUFFERED_RESPONSE_BYTES:
-                buffered.append(chunk)
-                continue
-            if not reply.begun:
-                self._begin(call, head, reply)
-                for part in buffered:
-                    await reply.write(part)
-            await reply.write(chunk)
-        if head.status >= 500:
-            engine.health.record_failure(health_lib.Failure.ERROR, loop.time())
-            if (
-                call.route.repeatable
-                and not reply.begun
-                and await call.acquire_retry(self.budget)
-            ):
-                call.add_step(f"error {engine.engine_id}: {head.status}")
-                return False
+    ) -> None:
+        head = fetched.response.head
+        if fetched.response.complete:
+            length = sum(len(part) for part in fetched.parts)
+            self._begin(call, head, reply, length=length)
         else:
-            engine.health.record_success(loop.time())
-        if not reply.begun:
-            self._begin(call, head, reply, length=size)
-            for part in buffered:
-                await reply.write(part)
+            self._begin(call, head, reply)
+        for part in fetched.parts:
+            await reply.write(part)
+        if not fetched.response.complete:
+            try:
+                async for chunk in fetched.rest:
+                    await reply.write(chunk)
+            except errors.GatewayError as error:
+                now = asyncio.get_running_loop().time()
+                sender_lib.record_failure(fetched.engine, error, now)
+                raise
+            _record_response(fetched)
         reply.finish()
-        return True
 
     def _begin(
         self,
@@ -199,6 +335,46 @@
         reply.begin(head.status, headers, reason=head.reason)
 
 
+async def _read_beginning(
+    engine: engines_lib.Engine, response: sender_lib.OpenResponse
+) -> FetchedResponse:
+    """Reads a response until it ends or exceeds the buffer."""
+    rest = response.chunks()
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in rest:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > MAX_BUFFERED_RESPONSE_BYTES:
+            break
+    return FetchedResponse(engine, response, parts, rest)
+
+
+def _record_response(fetched: FetchedResponse) -> None:
+    """Records a complete response in the health of its endpoint."""
+    now = asyncio.get_running_loop().time()
+    if fetched.failed:
+        fetched.engine.health.record_failure(health_lib.Failure.ERROR, now)
+    else:
+        fetched.engine.health.record_success(now)
+
+
+def _rejection(
+    error: errors.NotRunError | None,
+) -> errors.RequestRejectedError:
+    """Returns the rejection of a request that no endpoint ran.
+
+    Args:
+        error: the error of the last attempt; None if there was none.
+    """
+    reason = "endpoint_refused"
+    if error is None or error.unreachable:
+        reason = "no_endpoint"
+    return errors.RequestRejectedError(
+        reason, retry_after=engine_finder.NO_ENGINE_RETRY_DELAY
+    )
+
+
 def check_response(head: requests.ResponseHead) -> None:
     """Rejects responses that must not be forwarded unchanged.
 
