An endpoint's failure is forwarded if no other endpoint succeeds

Callers saw: a 503 without the endpoint's response, for an idempotent request that the endpoint had run and answered with a 5xx, when no other endpoint served or the other one refused. A 503 promises that the request has not run. Ruled out: requests that may not run twice, whose failures were forwarded. The failure is now kept and forwarded once no attempt is left.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -126,7 +126,7 @@
     async def _fetch(
         self, call: call_lib.Call, attempts: list[Attempt]
     ) -> FetchedResponse:
-        """Returns the first response of an endpoint that is not a failure.
+        """Returns a response, a failure only if no endpoint succeeds.
 
         Args:
             call: the request.
@@ -138,6 +138,7 @@
             OutcomeUnknownError: the request may have run.
         """
         may_send = True
+        failure: FetchedResponse | None = None
         error: errors.GatewayError | None = None
         while True:
             engine = self._choose(call) if may_send else None
@@ -145,6 +146,8 @@
                 call.tried_engines.append(engine.engine_id)
                 attempts.append(Attempt(engine, self._fetch_from(call, engine)))
             elif not attempts:
+                if failure is not None:
+                    return failure
                 if error is None or isinstance(error, errors.NotRunError):
                     raise _rejection(error) from error
                 raise error
@@ -166,18 +169,17 @@
                 return fetched
             attempts.remove(attempt)
             attempt.close()
-            may_send = (
-                fetched.failed
-                and call.route.repeatable
-                and await self._may_retry(call, attempts)
-            )
-            if not may_send:
+            if not fetched.failed:
                 return fetched
+            failure = fetched
             call.may_have_run = True
             call.add_step(
                 f"error {attempt.engine.engine_id}: "
                 f"{fetched.response.head.status}"
             )
+            may_send = call.route.repeatable and await self._may_retry(
+                call, attempts
+            )
 
     async def _next_ended(
         self, call: call_lib.Call, attempts: list[Attempt]
