--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -116,11 +116,11 @@
         self.close_after = self.must_close()
         if self.close_after:
             headers = [*headers, (b"Connection", b"close")]
-        self.status = status
-        self.begun = True
         self.connection.send(
             h11.Response(status_code=status, headers=headers, reason=reason)
         )
+        self.status = status
+        self.begun = True
 
     async def write(self, data: bytes) -> None:
         """Queues a part of the body and waits for buffer space."""
