A response that breaks off after it has begun is not sent again

What callers saw: an idempotent request whose response is longer than the buffer (256 KiB) and breaks off at the engine got status 200 with a part of the body, ended by the last chunk as if it were complete. If the response of the second engine is long too, its later part followed the first one's (MIXED).

Cause: PlainForwarder.forward sends a repeatable request again after each unknown outcome, also once the head and a part of the body have been sent to the caller. The second response is then written without its buffered start and finished.

Evidence: test_interrupted_long_response_is_not_joined_with_another failed before ((200, whole) with only the first engine's bytes) and passes now.

Change: once the response has begun, the error is raised and the handler closes the caller's connection, so that the response is visibly incomplete.

Ruled out: failures with status 500 and more; they are only sent again before the response has begun.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -77,8 +77,10 @@
             except errors.OutcomeUnknownError as error:
                 call.may_have_run = True
                 call.add_step(f"unknown {engine.engine_id}: {error}")
-                if not call.route.repeatable or not await call.acquire_retry(
-                    self.budget
+                if (
+                    reply.begun
+                    or not call.route.repeatable
+                    or not await call.acquire_retry(self.budget)
                 ):
                     raise
 
