A response that has begun may take until the timeout of its route

What callers saw: an idempotent request whose response is longer than the buffer (256 KiB) and takes longer than a quarter of its time was broken off, although its engine was sending.

Cause: the time limit of the first attempt (FIRST_ATTEMPT_FRACTION) stayed in force after the response had begun, when no other endpoint can be used.

Evidence: test_long_response_may_take_until_the_timeout_of_the_route failed before (a response of 704 KiB that takes 1.5 s of 2 s was incomplete) and passes now.

Change: the limit is moved to the request's own once the response begins.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -105,7 +105,9 @@
         call.tried_engines.append(engine.engine_id)
         engine.running += 1
         try:
-            async with asyncio.timeout_at(self._attempt_deadline(call)):
+            async with asyncio.timeout_at(
+                self._attempt_deadline(call)
+            ) as attempt:
                 response = await self.sender.open(
                     engine,
                     call.request,
@@ -115,7 +117,9 @@
                     ),
                     repeatable=call.route.repeatable,
                 )
-                return await self._relay_response(call, engine, response, reply)
+                return await self._relay_response(
+                    call, engine, response, reply, attempt
+                )
         except TimeoutError as error:
             engine.health.record_failure(health_lib.Failure.ERROR, loop.time())
             raise errors.OutcomeUnknownError("no response in time") from error
@@ -138,9 +142,12 @@
         engine: engines_lib.Engine,
         response: sender_lib.OpenResponse,
         reply: server.Reply,
+        attempt: asyncio.Timeout,
     ) -> bool:
         try:
-            return await self._copy_response(call, engine, response, reply)
+            return await self._copy_response(
+                call, engine, response, reply, attempt
+            )
         finally:
             response.close()
 
@@ -150,6 +157,7 @@
         engine: engines_lib.Engine,
         response: sender_lib.OpenResponse,
         reply: server.Reply,
+        attempt: asyncio.Timeout,
     ) -> bool:
         loop = asyncio.get_running_loop()
         head = response.head
@@ -162,6 +170,8 @@
                 buffered.append(chunk)
                 continue
             if not reply.begun:
+                # A response that has begun can't come from another endpoint.
+                attempt.reschedule(call.gateway_timeout_at)
                 self._begin(call, head, reply)
                 for part in buffered:
                     await reply.write(part)
