Limit the informational responses before a response

What callers saw: while an engine sent informational responses (1xx) without end at full speed, the node parsed them as fast as it could; the request ended with 504 late (2.4 s instead of 0.7 s under the test's memory tracing); the timer of the request fired late because the event loop was parsing.

Cause: Sender._next_response and HttpClient skip informational responses without a limit.

Evidence: test_endless_head_is_answered_by_the_deadline[informational-reserve] and [informational-batch] failed before (2.44 s and 2.47 s, limit 1.32 s) and pass now.

Change: a connection fails with a protocol error after 64 of them before one response.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -22,6 +22,10 @@
 # of the kernel is about 15 minutes.
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
 
+# A connection fails if a peer sends more informational responses (1xx) than
+# this before a response.
+MAX_INFORMATIONAL_RESPONSES = 64
+
 MessageEvent: TypeAlias = (
     h11.Request
     | h11.InformationalResponse
@@ -60,6 +64,7 @@
         self.eof = False
         self.idle_since = 0.0
         self.unparsed_bytes = 0
+        self._informational_responses = 0
         self._eof_fed = False
         self._ended = asyncio.Event()
         self._readable = asyncio.Event()
@@ -270,8 +275,20 @@
             self.unparsed_bytes = max(0, self.unparsed_bytes - len(event.data))
         elif isinstance(event, h11.EndOfMessage) or event is h11.NEED_DATA:
             self.unparsed_bytes = 0
+        elif isinstance(event, h11.InformationalResponse):
+            self._count_informational_response()
+        elif isinstance(event, h11.Response):
+            self._informational_responses = 0
         return event
 
+    def _count_informational_response(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+            raise errors.ProtocolError(
+                f"more than {MAX_INFORMATIONAL_RESPONSES} informational "
+                "responses before a response"
+            )
+
     def _feed_eof(self) -> None:
         with contextlib.suppress(h11.RemoteProtocolError):
             self.parser.receive_data(b"")
