Let other tasks run while many events of one connection are read

What callers saw: while an engine sent a body in chunks of one byte at full speed, requests ended long after their deadline, that request and all others of the process.

Cause: Connection.next_event returns without suspension while the parser holds an event. Up to 384 KiB may be unparsed, which is about 60,000 chunks of one byte; no timer fires while they are parsed and forwarded.

Evidence: test_endless_body_never_looks_complete[tiny_chunks-lookup] and [tiny_chunks-reserve], [tiny_chunks-draft], [tiny_chunks-batch] failed before: with a deadline of 0.6 s the caller had no end of the response after 5 s. They pass now (limit 1.32 s).

Change: after 64 events without suspension the reading task lets the event loop run. A response that arrives as it is read is not affected.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -26,6 +26,10 @@
 # this before a response.
 MAX_INFORMATIONAL_RESPONSES = 64
 
+# The task that reads a connection lets others run after this many events, so
+# that one peer with many small chunks does not delay other connections.
+MAX_EVENTS_PER_TURN = 64
+
 MessageEvent: TypeAlias = (
     h11.Request
     | h11.InformationalResponse
@@ -65,6 +69,7 @@
         self.idle_since = 0.0
         self.unparsed_bytes = 0
         self._informational_responses = 0
+        self._events_in_turn = 0
         self._eof_fed = False
         self._ended = asyncio.Event()
         self._readable = asyncio.Event()
@@ -133,6 +138,10 @@
             ConnectionLostError: the connection ended before the message did.
             ProtocolError: the received bytes are not valid HTTP.
         """
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
         while True:
             event = self._parse()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
@@ -150,6 +159,7 @@
             self._readable.clear()
             self._resume_reading()
             await self._readable.wait()
+            self._events_in_turn = 0
 
     async def wait_readable(self) -> None:
         """Waits until data arrives or the connection ends."""
