Limit the size of an event in a resumable stream

What callers saw: nothing until the deadline. While an engine sent an event without its end, the node kept all of it in memory: 24 MB after the 24 MiB that the test sends, without an upper bound until the deadline of the request.

Cause: EventSplitter.buffer grows until the event ends; MAX_EVENT_BYTES was defined, but not used.

Evidence: test_endless_body_never_looks_complete[chunks-draft] and [bytes_until_close-draft] failed before (growth of 10.3 MB and 24.2 MB, limit 4 MiB) and pass now. test_largest_event_is_forwarded and test_long_stream_with_many_events_is_whole pass before and after.

Change: the response counts as incomplete once the unfinished event exceeds MAX_EVENT_BYTES (1 MiB). Its connection is closed, the log line names the reason, and the stream continues at another engine or ends incomplete.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/event_stream.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/event_stream.py
@@ -6,6 +6,7 @@
 
 END_OF_EVENT = b"\n\n"
 
+# A response fails if one of its events is longer.
 MAX_EVENT_BYTES = 1024 * 1024
 
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -349,6 +349,10 @@
                 self.call.record_event()
                 if event.event_id is not None:
                     self.last_event_id = event.event_id
+            if len(splitter.buffer) > event_stream.MAX_EVENT_BYTES:
+                raise sender_lib.IncompleteResponseError(
+                    f"an event exceeds {event_stream.MAX_EVENT_BYTES} bytes"
+                )
         if splitter.buffer:
             raise sender_lib.IncompleteResponseError(
                 "the stream ended in the middle of an event"
