Forward many small events without holding up other tasks

What callers saw: while an engine sent empty events (two bytes each) at full speed, requests ended long after their deadline.

Cause: EventSplitter.feed copied the rest of the buffer for each event, which takes quadratic time, and Reply.write returns without suspension while the write buffer has space. No timer fires until all events of one part are sent.

Evidence: test_endless_body_never_looks_complete[tiny_events-draft] failed before: with a deadline of 0.6 s the caller had no end of the response after 5 s. It passes now (limit 1.32 s).

Change: the splitter searches each byte once and removes the events of a part at its end; Connection.drain lets other tasks run as next_event does.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/event_stream.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/event_stream.py
@@ -33,18 +33,23 @@
     """
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
 
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Yields the events that `data` completes."""
+        # The end of an event may be split between two parts.
+        search_from = max(0, len(self.buffer) - len(END_OF_EVENT) + 1)
         self.buffer += data
+        start = 0
         while True:
-            end = self.buffer.find(END_OF_EVENT)
+            end = self.buffer.find(END_OF_EVENT, search_from)
             if end < 0:
-                return
-            event = self.buffer[: end + len(END_OF_EVENT)]
-            self.buffer = self.buffer[end + len(END_OF_EVENT) :]
+                break
+            end += len(END_OF_EVENT)
+            event = bytes(self.buffer[start:end])
+            start = search_from = end
             yield StreamEvent(event, _event_id(event))
+        del self.buffer[:start]
 
 
 def _event_id(event: bytes) -> str | None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -26,8 +26,9 @@
 # this before a response.
 MAX_INFORMATIONAL_RESPONSES = 64
 
-# The task that reads a connection lets others run after this many events, so
-# that one peer with many small chunks does not delay other connections.
+# The task that reads or writes a connection lets others run after this many
+# events, so that one peer with many small chunks does not delay other
+# connections.
 MAX_EVENTS_PER_TURN = 64
 
 MessageEvent: TypeAlias = (
@@ -138,10 +139,7 @@
             ConnectionLostError: the connection ended before the message did.
             ProtocolError: the received bytes are not valid HTTP.
         """
-        self._events_in_turn += 1
-        if self._events_in_turn > MAX_EVENTS_PER_TURN:
-            self._events_in_turn = 0
-            await asyncio.sleep(0)
+        await self._let_others_run()
         while True:
             event = self._parse()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
@@ -181,6 +179,7 @@
 
     async def drain(self) -> None:
         """Waits until the write buffer has space again."""
+        await self._let_others_run()
         await self._writable.wait()
         if self.transport is None or self.transport.is_closing():
             raise errors.ConnectionLostError("the connection has ended")
@@ -299,6 +298,12 @@
                 "responses before a response"
             )
 
+    async def _let_others_run(self) -> None:
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
+
     def _feed_eof(self) -> None:
         with contextlib.suppress(h11.RemoteProtocolError):
             self.parser.receive_data(b"")
--- a/packages/dogwoodhinge/testing/gateway/test_event_stream.py
+++ b/packages/dogwoodhinge/testing/gateway/test_event_stream.py
@@ -33,3 +33,11 @@
     splitter = event_stream.EventSplitter()
     (found,) = splitter.feed(b"data: x\n\n")
     assert found.event_id is None
+
+
+def test_end_of_an_event_may_be_split() -> None:
+    splitter = event_stream.EventSplitter()
+    assert not list(splitter.feed(b"data: x\n"))
+    (found,) = splitter.feed(b"\nid: 2")
+    assert found.data == b"data: x\n\n"
+    assert splitter.buffer == b"id: 2"
