Read the body of a rejection up to a size and a time only

What callers saw: an engine rejected a request (Not-Executed) and sent the rejection's body without end. The request ended with 504 at its deadline, although it is known not to have run and another engine was free.

Cause: Sender._drain_rejection had a limit on the time without data, not on the whole body.

Evidence: the six cases of test_rejection_with_an_endless_body_is_a_rejection failed before (504 instead of 503), as did test_rejection_with_an_endless_body_leaves_time_for_another_engine (504 instead of the other engine's 200). All pass now.

Change: at most 64 KiB are read, for at most 200 ms; then the connection is closed, the step in the log line says that the body is incomplete, and the request counts as not run. Reading the body only serves to keep the connection. The tests of late responses with an endless body pass before and after.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -1,7 +1,8 @@
 """Sends a request to one engine once and classifies the outcome."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+import contextlib
 import datetime
 from typing import final
 
@@ -21,6 +22,11 @@
 # outcome counts as unknown.
 MAX_STALE_RESPONSES = 3
 
+# The body of a rejection is read up to this size and time, so that its
+# connection can be used again.
+MAX_REJECTION_BODY_BYTES = 64 * 1024
+REJECTION_BODY_TIMEOUT = datetime.timedelta(milliseconds=200)
+
 # An engine counts as silent if no connection with a request in progress
 # receives data for this long. At full load, a running request produces an event
 # every 60 ms.
@@ -150,7 +156,7 @@
         *,
         silence_timeout: datetime.timedelta | None = None,
         may_switch_engine: Callable[[], Awaitable[bool]] | None = None,
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yields the body as it arrives.
 
         Args:
@@ -365,8 +371,9 @@
             )
             if decoded.not_run or decoded.misdirected:
                 await self._drain_rejection(response)
+                end = "" if response.complete else " with an incomplete body"
                 raise errors.NotRunError(
-                    f"{engine.engine_id} answered {decoded.status}",
+                    f"{engine.engine_id} answered {decoded.status}{end}",
                     misdirected=decoded.misdirected,
                 )
             if decoded.request_id == request.request_id:
@@ -450,10 +457,18 @@
             raise errors.OutcomeUnknownError(str(error)) from error
 
     async def _drain_rejection(self, response: OpenResponse) -> None:
+        limit = REJECTION_BODY_TIMEOUT.total_seconds()
+        size = 0
         try:
-            async for _ in response.chunks(silence_timeout=SILENCE_TIMEOUT):
-                pass
-        except errors.OutcomeUnknownError:
+            async with (
+                asyncio.timeout(limit),
+                contextlib.aclosing(response.chunks()) as chunks,
+            ):
+                async for chunk in chunks:
+                    size += len(chunk)
+                    if size > MAX_REJECTION_BODY_BYTES:
+                        break
+        except (errors.OutcomeUnknownError, TimeoutError):
             # The head with the rejection is valid, but the connection cannot
             # be used again.
             response.complete = False
