--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import itertools
 import random
+import traceback
 from typing import final
 
-import h11
-
 from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.gateway import call as call_lib
@@ -24,7 +24,12 @@
 # callers that were rejected together do not all retry together.
 RETRY_JITTER = 0.5
 
+MAX_NAMED_REQUESTS = 20
+
+MAX_LOGGED_ERROR_LENGTH = 200
+
 NO_CONFIGURATION_RETRY_DELAY = datetime.timedelta(seconds=1)
+INTERNAL_ERROR_RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
 @final
@@ -34,6 +39,9 @@
     Attributes:
         active: number of requests in progress, by adapter.
         begun: number of requests started, by adapter.
+        running: requests in progress.
+        timeouts: the timeouts of all requests in progress.
+        stopped: whether `stop` was called.
     """
 
     def __init__(
@@ -58,6 +66,25 @@
         self.request_metrics = request_metrics
         self.active: dict[models.AdapterKey, int] = {}
         self.begun: dict[models.AdapterKey, int] = {}
+        self.running: set[call_lib.Call] = set()
+        self.timeouts: set[asyncio.Timeout] = set()
+        self.stopped = False
+
+    def running_requests(self) -> list[str]:
+        """Returns ids of requests in progress, `MAX_NAMED_REQUESTS` at most."""
+        calls = itertools.islice(self.running, MAX_NAMED_REQUESTS)
+        return [call.request.request_id for call in calls]
+
+    def stop(self) -> None:
+        """Ends all requests in progress as if they had timed out.
+
+        A response that has begun is broken off. Later requests are rejected.
+        """
+        self.stopped = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self.timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
 
     async def handle(self, raw: server.RawRequest, reply: server.Reply) -> None:
         """Serves one request; see `http1.server.Handler`."""
@@ -117,16 +144,33 @@
         self.budget.record_request(call.service, loop.time())
         key = call.request.adapter
         self._record_start(key)
+        self.running.add(call)
         outcome = "caller_left"
         try:
             outcome = await self._forward(call, reply)
+        except asyncio.CancelledError:
+            if not reply.connection.lost.is_set():
+                outcome = "cut_off"
+            raise
+        except http_errors.ConnectionLostError:
+            raise
+        except Exception as error:
+            outcome = "handler_error"
+            text = f"{type(error).__name__}: {error}"
+            call.add_step(f"error {text[:MAX_LOGGED_ERROR_LENGTH]}")
+            raise
         finally:
+            self.running.discard(call)
             self._record_end(key)
             self._log(call, reply, outcome)
 
     async def _forward(self, call: call_lib.Call, reply: server.Reply) -> str:
+        timeout = asyncio.timeout_at(call.gateway_timeout_at)
+        self.timeouts.add(timeout)
         try:
-            async with asyncio.timeout_at(call.gateway_timeout_at):
+            if self.stopped:
+                raise TimeoutError
+            async with timeout:
                 if call.request.adapter is None:
                     await self.plain.forward(call, reply)
                 else:
@@ -136,15 +180,20 @@
         except errors.OutcomeUnknownError:
             return self._end_outcome_unknown(call, reply, 502, "unknown")
         except TimeoutError:
+            reason = "shutdown" if self.stopped else "timed_out"
             if call.tried_engines:
-                return self._end_outcome_unknown(call, reply, 504, "timed_out")
+                return self._end_outcome_unknown(call, reply, 504, reason)
             refusal = errors.RequestRejectedError(
-                "timed_out_unsent", retry_after=datetime.timedelta(seconds=1)
+                f"{reason}_unsent", retry_after=datetime.timedelta(seconds=1)
             )
             return self._reject(call, reply, refusal)
-        except (http_errors.ConnectionLostError, h11.LocalProtocolError):
+        except http_errors.ConnectionLostError:
             reply.break_off()
             return "caller_lost"
+        except Exception as error:
+            return self._end_failed(call, reply, error)
+        finally:
+            self.timeouts.discard(timeout)
         return "answered"
 
     def _reject(
@@ -178,6 +227,27 @@
         reply.answer(status, headers)
         return f"failed_{outcome_detail}"
 
+    def _end_failed(
+        self, call: call_lib.Call, reply: server.Reply, error: Exception
+    ) -> str:
+        """Ends a request on which this node failed, with a true status."""
+        self.events.write(
+            "request_failed",
+            {
+                "request": call.request.request_id,
+                "error": f"{type(error).__name__}: {error}",
+                "traceback": traceback.format_exc(),
+            },
+        )
+        if reply.finished:
+            return "answered"
+        if call.tried_engines:
+            return self._end_outcome_unknown(call, reply, 502, "internal")
+        rejection = errors.RequestRejectedError(
+            "internal", retry_after=INTERNAL_ERROR_RETRY_DELAY
+        )
+        return self._reject(call, reply, rejection)
+
     def _record_start(self, key: models.AdapterKey | None) -> None:
         if key is None or not key.adapter:
             return
@@ -231,6 +301,14 @@
             fields["version"] = call.adapter_version
             fields["events"] = call.events
             fields["longest_pause_ms"] = int(call.longest_pause * 1000)
+        if call.engine_end:
+            fields["engine_end"] = call.engine_end
+        if not reply.finished:
+            fields.update(reply.connection_fields())
+            fields["leaving"] = reply.must_close()
+            if call.last_event_at is not None:
+                last_event = call.last_event_at - call.received_at
+                fields["last_event_ms"] = int(last_event * 1000)
         if call.steps:
             fields["steps"] = call.steps
         self.events.write("request", fields)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -1,9 +1,11 @@
 """Sends a request to one engine once and classifies the outcome."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+import contextlib
 import datetime
-from typing import final
+import functools
+from typing import TypeVar, final
 
 import h11
 
@@ -17,16 +19,32 @@
 from _dogwoodhinge.http1 import errors as http_errors
 from _dogwoodhinge.http1 import pool as pool_lib
 
+_T = TypeVar("_T")
+
 # Responses to earlier requests that are skipped on one connection before the
 # outcome counts as unknown.
 MAX_STALE_RESPONSES = 3
 
+# The body of a rejection is read up to this size and time, so that its
+# connection can be used again.
+MAX_REJECTION_BODY_BYTES = 64 * 1024
+REJECTION_BODY_TIMEOUT = datetime.timedelta(milliseconds=200)
+
 # An engine counts as silent if no connection with a request in progress
 # receives data for this long. At full load, a running request produces an event
 # every 60 ms.
 SILENCE_TIMEOUT = datetime.timedelta(milliseconds=700)
 SILENCE_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
+# Time between two attempts to find another engine for a request whose engine
+# does not respond; each of them may ask the leader for an adapter slot.
+SWITCH_RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
+
+# A timer that fires later than this shows that this node itself was held up. It
+# then reads for RECHECK_TIMEOUT what has arrived in the meantime.
+MAX_TIMER_DELAY = datetime.timedelta(milliseconds=200)
+RECHECK_TIMEOUT = datetime.timedelta(milliseconds=150)
+
 # An engine that sent data within this time is up. A failed connect then does
 # not count as an unreachable engine.
 RECENT_ACTIVITY_WINDOW = datetime.timedelta(milliseconds=500)
@@ -45,14 +63,20 @@
 class IncompleteResponseError(errors.OutcomeUnknownError):
     """A response ended before it was complete."""
 
+    engine_end = "broke_off"
+
 
 class SilentEngineError(errors.OutcomeUnknownError):
     """An engine sends no data on any of its connections."""
 
+    engine_end = "left_silent"
+
 
 class LostResponseError(errors.OutcomeUnknownError):
     """An engine has responded to later requests, but not to this one."""
 
+    engine_end = "left_overtaken"
+
 
 def record_failure(
     engine: engines_lib.Engine,
@@ -95,6 +119,57 @@
         )
 
 
+async def _read_within(
+    timeout: float | None,
+    connection: connection_lib.Connection,
+    read: Callable[[], Awaitable[_T]],
+) -> _T:
+    """Reads from an engine, for longer if this node itself was held up.
+
+    Args:
+        timeout: seconds to wait; None for no limit.
+        connection: the connection that is read.
+        read: reads the next message part; may be cancelled and called again.
+
+    Raises:
+        TimeoutError: nothing arrived in time.
+    """
+    if timeout is None:
+        return await read()
+    loop = asyncio.get_running_loop()
+    due = loop.time() + timeout
+    try:
+        async with asyncio.timeout_at(due):
+            return await read()
+    except TimeoutError:
+        on_time = loop.time() < due + MAX_TIMER_DELAY.total_seconds()
+        if on_time and not connection.readable:
+            raise
+    async with asyncio.timeout(RECHECK_TIMEOUT.total_seconds()):
+        return await read()
+
+
+async def _data_arrives_first(
+    connection: connection_lib.Connection, preparing: Awaitable[bool]
+) -> bool:
+    """Waits for data or until a switch to another engine is prepared.
+
+    Returns:
+        Whether to go on reading from this connection.
+    """
+    prepared = asyncio.ensure_future(preparing)
+    readable = asyncio.ensure_future(connection.wait_readable())
+    try:
+        await asyncio.wait(
+            {prepared, readable}, return_when=asyncio.FIRST_COMPLETED
+        )
+        return not (prepared.done() and prepared.result())
+    finally:
+        for task in (prepared, readable):
+            task.cancel()
+        await asyncio.gather(prepared, readable, return_exceptions=True)
+
+
 @final
 class EngineConnections:
     """The connections to one incarnation of an engine.
@@ -149,15 +224,15 @@
         self,
         *,
         silence_timeout: datetime.timedelta | None = None,
-        may_switch_engine: Callable[[], Awaitable[bool]] | None = None,
-    ) -> AsyncIterator[bytes]:
+        prepare_switch: Callable[[], Awaitable[bool]] | None = None,
+    ) -> AsyncGenerator[bytes, None]:
         """Yields the body as it arrives.
 
         Args:
             silence_timeout: longest time without data; None for no limit.
-            may_switch_engine: called after the timeout, while data is still
-                awaited; returns whether another engine may be used. None if
-                the response ends at the timeout.
+            prepare_switch: called after the timeout, while data is still
+                awaited; returns whether another engine is ready for the
+                request. None if the response ends at the timeout.
 
         Raises:
             IncompleteResponseError: the response ended early.
@@ -169,11 +244,12 @@
             limit = silence_timeout.total_seconds()
         while True:
             try:
-                async with asyncio.timeout(limit):
-                    event = await self.connection.next_event()
+                event = await _read_within(
+                    limit, self.connection, self.connection.next_event
+                )
             except TimeoutError as error:
-                if may_switch_engine is not None and await self._wait_for_data(
-                    may_switch_engine()
+                if prepare_switch is not None and await _data_arrives_first(
+                    self.connection, prepare_switch()
                 ):
                     continue
                 raise SilentEngineError(
@@ -190,24 +266,6 @@
             else:
                 raise IncompleteResponseError("the response ended early")
 
-    async def _wait_for_data(self, switch_check: Awaitable[bool]) -> bool:
-        """Waits for data or for the decision whether to switch the engine.
-
-        Returns:
-            Whether to go on reading from this engine.
-        """
-        checking = asyncio.ensure_future(switch_check)
-        reading = asyncio.ensure_future(self.connection.wait_readable())
-        try:
-            await asyncio.wait(
-                {checking, reading}, return_when=asyncio.FIRST_COMPLETED
-            )
-            return reading.done() or not checking.result()
-        finally:
-            for task in (checking, reading):
-                task.cancel()
-            await asyncio.gather(checking, reading, return_exceptions=True)
-
     def close(self) -> None:
         """Returns the connection to the pool if the response is complete."""
         if self.complete and not self.head.closing:
@@ -243,7 +301,7 @@
         parameters: requests.DispatchParameters,
         *,
         repeatable: bool,
-        may_switch_engine: Callable[[], bool] | None = None,
+        prepare_switch: Callable[[], Awaitable[bool]] | None = None,
     ) -> OpenResponse:
         """Sends a request and reads the head of the response.
 
@@ -252,9 +310,10 @@
             request: the caller's request.
             parameters: the parameters for the engine.
             repeatable: whether the request may run more than once.
-            may_switch_engine: called when the engine is silent or the response
-                counts as lost; returns whether to stop waiting for it. None to
-                wait for the response without a limit.
+            prepare_switch: called when the engine is silent or the response
+                counts as lost, while the response is still awaited; returns
+                whether another engine is ready for the request. None to wait
+                for the response without a limit.
 
         Raises:
             NotRunError: the engine did not run the request.
@@ -282,7 +341,7 @@
                 connection,
                 request,
                 parameters,
-                may_switch_engine,
+                prepare_switch,
             )
         except BaseException:
             if connection in engine_connections.pool.in_use:
@@ -334,7 +393,7 @@
         connection: connection_lib.Connection,
         request: requests.Request,
         parameters: requests.DispatchParameters,
-        may_switch_engine: Callable[[], bool] | None,
+        prepare_switch: Callable[[], Awaitable[bool]] | None,
     ) -> OpenResponse:
         head = h11.Request(
             method=request.raw.method,
@@ -355,7 +414,7 @@
                 engine_connections,
                 connection,
                 parameters,
-                may_switch_engine,
+                prepare_switch,
             )
             decoded = self.codec.decode_response(raw_head)
             response = OpenResponse(
@@ -365,8 +424,9 @@
             )
             if decoded.not_run or decoded.misdirected:
                 await self._drain_rejection(response)
+                end = "" if response.complete else " with an incomplete body"
                 raise errors.NotRunError(
-                    f"{engine.engine_id} answered {decoded.status}",
+                    f"{engine.engine_id} answered {decoded.status}{end}",
                     misdirected=decoded.misdirected,
                 )
             if decoded.request_id == request.request_id:
@@ -384,29 +444,31 @@
         engine_connections: EngineConnections,
         connection: connection_lib.Connection,
         parameters: requests.DispatchParameters,
-        may_switch_engine: Callable[[], bool] | None,
+        prepare_switch: Callable[[], Awaitable[bool]] | None,
     ) -> h11.Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         priority = parameters.priority or 0
         check_interval = (
             None
-            if may_switch_engine is None
+            if prepare_switch is None
             else SILENCE_CHECK_INTERVAL.total_seconds()
         )
         while True:
             try:
-                async with asyncio.timeout(check_interval):
-                    head = await self._next_response(connection)
+                head = await _read_within(
+                    check_interval,
+                    connection,
+                    functools.partial(self._next_response, connection),
+                )
             except TimeoutError as error:
                 reason = self._switch_reason(
                     engine, engine_connections, priority, sent_at
                 )
-                if (
-                    reason is None
-                    or may_switch_engine is None
-                    or not may_switch_engine()
-                ):
+                if reason is None or prepare_switch is None:
+                    continue
+                if await _data_arrives_first(connection, prepare_switch()):
+                    check_interval = SWITCH_RETRY_INTERVAL.total_seconds()
                     continue
                 raise reason from error
             engine_connections.last_byte_at = loop.time()
@@ -450,10 +512,18 @@
             raise errors.OutcomeUnknownError(str(error)) from error
 
     async def _drain_rejection(self, response: OpenResponse) -> None:
+        limit = REJECTION_BODY_TIMEOUT.total_seconds()
+        size = 0
         try:
-            async for _ in response.chunks(silence_timeout=SILENCE_TIMEOUT):
-                pass
-        except errors.OutcomeUnknownError:
+            async with (
+                asyncio.timeout(limit),
+                contextlib.aclosing(response.chunks()) as chunks,
+            ):
+                async for chunk in chunks:
+                    size += len(chunk)
+                    if size > MAX_REJECTION_BODY_BYTES:
+                        break
+        except (errors.OutcomeUnknownError, TimeoutError):
             # The head with the rejection is valid, but the connection cannot
             # be used again.
             response.complete = False
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from typing import TypeAlias, cast, final
 
@@ -22,6 +23,15 @@
 # of the kernel is about 15 minutes.
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
 
+# A connection fails if a peer sends more informational responses (1xx) than
+# this before a response.
+MAX_INFORMATIONAL_RESPONSES = 64
+
+# The task that reads or writes a connection lets others run after this many
+# events, so that one peer with many small chunks does not delay other
+# connections.
+MAX_EVENTS_PER_TURN = 64
+
 MessageEvent: TypeAlias = (
     h11.Request
     | h11.InformationalResponse
@@ -41,8 +51,15 @@
             side has closed or aborted it.
         reset: whether the connection ended with a reset, not with a close.
         eof: whether the peer has closed its side.
+        end_reason: what ended the connection first: `peer_closed`,
+            `peer_reset`, `unacknowledged` (the peer acknowledged no data in
+            time), `network_error`, `closed_here` or `aborted_here`; empty
+            while the connection is open.
         idle_since: loop time of the last use, set by the connection pool.
         unparsed_bytes: bytes received that the parser has not consumed yet.
+        message_number: number of the current message on this connection,
+            starting at 1.
+        message_bytes: bytes received of a message that is not complete.
     """
 
     def __init__(
@@ -58,8 +75,13 @@
         self.lost = asyncio.Event()
         self.reset = False
         self.eof = False
+        self.end_reason = ""
         self.idle_since = 0.0
         self.unparsed_bytes = 0
+        self.message_number = 1
+        self.message_bytes = 0
+        self._informational_responses = 0
+        self._events_in_turn = 0
         self._eof_fed = False
         self._ended = asyncio.Event()
         self._readable = asyncio.Event()
@@ -92,6 +114,7 @@
         """Passes received bytes to the parser."""
         self.parser.receive_data(data)
         self.unparsed_bytes += len(data)
+        self.message_bytes += len(data)
         if (
             self.unparsed_bytes > MAX_UNPARSED_BYTES
             and not self._reading_paused
@@ -102,14 +125,14 @@
     def eof_received(self) -> bool:
         """Records that the peer will send no more data."""
         self.eof = True
-        self._mark_lost()
+        self._mark_lost("peer_closed")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Records the end of the connection."""
         self.reset = self.reset or (exc is not None and not self.eof)
         self._ended.set()
-        self._mark_lost()
+        self._mark_lost(_describe_end(exc))
 
     def pause_writing(self) -> None:
         """Blocks `drain`: the write buffer is full."""
@@ -128,6 +151,7 @@
             ConnectionLostError: the connection ended before the message did.
             ProtocolError: the received bytes are not valid HTTP.
         """
+        await self._let_others_run()
         while True:
             event = self._parse()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
@@ -137,14 +161,16 @@
                 self._feed_eof()
                 continue
             if self.lost.is_set():
-                raise errors.ConnectionLostError(
-                    "the peer reset the connection"
-                    if self.reset
-                    else "the peer closed the connection"
-                )
+                raise errors.ConnectionLostError(self._describe_loss())
             self._readable.clear()
             self._resume_reading()
             await self._readable.wait()
+            self._events_in_turn = 0
+
+    @property
+    def readable(self) -> bool:
+        """True if data or the end has arrived since the last read."""
+        return self._readable.is_set()
 
     async def wait_readable(self) -> None:
         """Waits until data arrives or the connection ends."""
@@ -166,6 +192,7 @@
 
     async def drain(self) -> None:
         """Waits until the write buffer has space again."""
+        await self._let_others_run()
         await self._writable.wait()
         if self.transport is None or self.transport.is_closing():
             raise errors.ConnectionLostError("the connection has ended")
@@ -187,6 +214,7 @@
             return False
         self.parser.start_next_cycle()
         self.unparsed_bytes = 0
+        self.message_number += 1
         return True
 
     def expect_next_response(self, request: h11.Request) -> bool:
@@ -218,13 +246,25 @@
 
     @property
     def unread_bytes(self) -> bool:
-        """True if bytes have arrived after the end of the message."""
+        """True if bytes have arrived that belong to no parsed message."""
         return bool(self.parser.trailing_data[0])
 
-    @property
-    def received_while_idle(self) -> bool:
-        """True if bytes have arrived while no request was in progress."""
-        return self.unparsed_bytes > 0
+    def has_received(self) -> bool:
+        """Returns whether bytes or a close wait to be parsed or read.
+
+        Includes those that the kernel has received and the event loop has not
+        read yet.
+        """
+        if self.unread_bytes:
+            return True
+        if self.transport is None:
+            return False
+        raw = self.transport.get_extra_info("socket")
+        if raw is None or raw.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     @property
     def all_sent(self) -> bool:
@@ -238,13 +278,13 @@
         """Closes the connection after all queued data has been sent."""
         if self.transport is not None:
             self.transport.close()
-        self._mark_lost()
+        self._mark_lost("closed_here")
 
     def abort(self) -> None:
         """Drops the connection at once; the peer gets an incomplete message."""
         if self.transport is not None:
             self.transport.abort()
-        self._mark_lost()
+        self._mark_lost("aborted_here")
 
     def cancel_when_lost(self, task: asyncio.Task[None] | None) -> None:
         """Cancels `task` when the connection ends; None disables this."""
@@ -270,13 +310,34 @@
             self.unparsed_bytes = max(0, self.unparsed_bytes - len(event.data))
         elif isinstance(event, h11.EndOfMessage) or event is h11.NEED_DATA:
             self.unparsed_bytes = 0
+        elif isinstance(event, h11.InformationalResponse):
+            self._count_informational_response()
+        elif isinstance(event, h11.Response):
+            self._informational_responses = 0
+        if isinstance(event, h11.EndOfMessage):
+            self.message_bytes = len(self.parser.trailing_data[0])
         return event
 
+    def _count_informational_response(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+            raise errors.ProtocolError(
+                f"more than {MAX_INFORMATIONAL_RESPONSES} informational "
+                "responses before a response"
+            )
+
+    async def _let_others_run(self) -> None:
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
+
     def _feed_eof(self) -> None:
         with contextlib.suppress(h11.RemoteProtocolError):
             self.parser.receive_data(b"")
 
-    def _mark_lost(self) -> None:
+    def _mark_lost(self, reason: str) -> None:
+        self.end_reason = self.end_reason or reason
         self.lost.set()
         self._readable.set()
         self._writable.set()
@@ -284,6 +345,13 @@
             self._on_lost.cancel()
             self._on_lost = None
 
+    def _describe_loss(self) -> str:
+        if self.reset:
+            return "the peer reset the connection"
+        if self.end_reason in ("closed_here", "aborted_here"):
+            return "this node closed the connection"
+        return "the peer closed the connection"
+
     def _pause_reading(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
@@ -294,3 +362,14 @@
             self._reading_paused = False
             if not self.transport.is_closing():
                 self.transport.resume_reading()
+
+
+def _describe_end(error: Exception | None) -> str:
+    """Returns the `end_reason` of a connection that the peer ended."""
+    if error is None:
+        return "peer_closed"
+    if isinstance(error, TimeoutError):
+        return "unacknowledged"
+    if isinstance(error, ConnectionError):
+        return "peer_reset"
+    return "network_error"
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 server for the connections of callers."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 import dataclasses
 import datetime
@@ -25,6 +26,13 @@
 LINGER_BYTES = 256 * 1024
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 
+# Longer paths are truncated in log lines.
+MAX_LOGGED_PATH_BYTES = 100
+
+# Callers send their first request as soon as they are connected. Connections
+# that were accepted just before the listener closes are kept for this time.
+FIRST_REQUEST_DELAY = datetime.timedelta(milliseconds=100)
+
 MAX_BODY_BUFFER_BYTES = 48 * 1024 * 1024  # a sixth of a small host's memory
 
 
@@ -79,7 +87,8 @@
     """Sends the response to one request.
 
     Attributes:
-        close_after: whether the connection closes after this response.
+        close_after: whether the response announces that the connection
+            closes after it; decided when the head is queued.
         begun: whether the head has been queued.
         finished: whether the complete response has been queued.
         status: the status of the response; 0 before the head.
@@ -87,10 +96,14 @@
     """
 
     def __init__(
-        self, connection: connection_lib.Connection, *, close_after: bool
+        self,
+        connection: connection_lib.Connection,
+        *,
+        must_close: Callable[[], bool],
     ) -> None:
         self.connection = connection
-        self.close_after = close_after
+        self.must_close = must_close
+        self.close_after = False
         self.begun = False
         self.finished = False
         self.status = 0
@@ -100,13 +113,14 @@
         self, status: int, headers: list[Header], *, reason: bytes = b""
     ) -> None:
         """Queues the head of the response."""
+        self.close_after = self.must_close()
         if self.close_after:
             headers = [*headers, (b"Connection", b"close")]
-        self.status = status
-        self.begun = True
         self.connection.send(
             h11.Response(status_code=status, headers=headers, reason=reason)
         )
+        self.status = status
+        self.begun = True
 
     async def write(self, data: bytes) -> None:
         """Queues a part of the body and waits for buffer space."""
@@ -133,6 +147,24 @@
         """Closes the connection, so that the response is not complete."""
         self.connection.close()
 
+    def connection_fields(self) -> dict[str, object]:
+        """Returns the log fields of the caller's connection."""
+        return _connection_fields(self.connection)
+
+
+def _connection_fields(
+    connection: connection_lib.Connection,
+) -> dict[str, object]:
+    """Returns the address, the request's number and the state."""
+    peer = None
+    if connection.transport is not None:
+        peer = connection.transport.get_extra_info("peername")
+    return {
+        "caller": f"{peer[0]}:{peer[1]}" if peer else "",
+        "connection_request": connection.message_number,
+        "caller_connection": connection.end_reason or "open",
+    }
+
 
 def _check_framing(head: h11.Request) -> None:
     """Rejects requests whose framing is ambiguous (request smuggling).
@@ -147,6 +179,30 @@
         )
 
 
+async def _next_event(
+    connection: connection_lib.Connection, deadline: float
+) -> connection_lib.MessageEvent:
+    """Returns the next event of a request.
+
+    Args:
+        connection: the caller's connection.
+        deadline: loop time by which the event must be received.
+
+    Raises:
+        ConnectionLostError: the connection ended before the message did.
+        ProtocolError: the received bytes are not valid HTTP.
+        TimeoutError: the event was not received in time.
+    """
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await connection.next_event()
+    except TimeoutError:
+        # The event may have been received in the turn of the event loop in
+        # which the timeout expired.
+        async with asyncio.timeout_at(deadline):
+            return await connection.next_event()
+
+
 Handler = Callable[[RawRequest, Reply], Awaitable[None]]
 
 
@@ -156,14 +212,16 @@
 
     Attributes:
         limits: returns the current limits; called for each request.
-        leaving: set once the server shuts down: responses carry
-            `Connection: close`.
+        leaving: set once the server shuts down: responses begun from then on
+            carry `Connection: close`.
         active: number of requests being read or served.
-        no_active_requests: set while no request is being read or served.
         buffered_bytes: size of all request bodies in memory.
         connections: all connections, including closed ones that still have
             data to send.
         idle: connections that wait for a request.
+        unanswered: number of requests that ended without a complete response,
+            by stage (`reading` or `serving`) and reason: the `end_reason` of
+            the connection, `open`, `cut_off` or `handler_error`.
     """
 
     def __init__(
@@ -178,14 +236,15 @@
         self.report = report
         self.leaving = asyncio.Event()
         self.active = 0
-        self.no_active_requests = asyncio.Event()
-        self.no_active_requests.set()
         self.buffered_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: weakref.WeakSet[connection_lib.Connection] = (
             weakref.WeakSet()
         )
         self.idle: set[connection_lib.Connection] = set()
+        self.unanswered: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -202,12 +261,42 @@
     def close_idle(self) -> None:
         """Closes the connections without a request in progress.
 
-        A connection that has received data which its task has not read yet
-        stays open; its response carries `Connection: close`.
+        A connection that has received data stays open, also if only a part of
+        the head has arrived or its task has not read it yet; its response
+        carries `Connection: close`.
         """
-        for connection in tuple(self.idle):
-            if not connection.received_while_idle:
+        idle = tuple(self.idle)
+        closed = 0
+        for connection in idle:
+            if not connection.has_received():
                 connection.close()
+                closed += 1
+        self.report(
+            "idle_connections_closed",
+            {
+                "closed": closed,
+                "kept": len(idle) - closed,
+                "active": self.active,
+            },
+        )
+
+    @property
+    def unsent(self) -> int:
+        """Number of connections whose responses are not sent completely."""
+        return sum(not found.all_sent for found in tuple(self.connections))
+
+    async def drain(self) -> None:
+        """Stops accepting and waits until all responses have been sent.
+
+        Connections that were accepted before are served first, also if their
+        request has not been read yet.
+        """
+        self.stop_accepting()
+        await asyncio.sleep(FIRST_REQUEST_DELAY.total_seconds())
+        self.close_idle()
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+        await self.wait_until_sent()
 
     async def wait_until_sent(self) -> None:
         """Waits until all responses have been passed to the kernel."""
@@ -243,8 +332,10 @@
         except (errors.HttpError, TimeoutError) as error:
             # Callers may disconnect at any time. This is logged only if a
             # request was incomplete.
-            if connection.unparsed_bytes:
-                self.report("request_unfinished", {"reason": str(error)})
+            if connection.message_bytes:
+                self._report_unfinished(
+                    connection, str(error) or "no data in time"
+                )
         except asyncio.CancelledError:
             connection.abort()
             raise
@@ -254,6 +345,7 @@
                 {
                     "error": f"{type(error).__name__}: {error}",
                     "traceback": traceback.format_exc(),
+                    **_connection_fields(connection),
                 },
             )
             connection.abort()
@@ -261,54 +353,94 @@
             self.idle.discard(connection)
             connection.close()
 
+    def _report_unfinished(
+        self, connection: connection_lib.Connection, reason: str
+    ) -> None:
+        """Logs and counts a request that was not read completely."""
+        fields = _connection_fields(connection)
+        self.unanswered["reading", connection.end_reason or "open"] += 1
+        self.report(
+            "request_unfinished",
+            {
+                "reason": reason,
+                "received_bytes": connection.message_bytes,
+                **fields,
+            },
+        )
+
+    def _report_not_run(
+        self, connection: connection_lib.Connection, request: RawRequest
+    ) -> None:
+        """Logs and counts a request whose connection ended before it ran."""
+        path = request.target.partition(b"?")[0][:MAX_LOGGED_PATH_BYTES]
+        self.unanswered["reading", connection.end_reason] += 1
+        self.report(
+            "request_not_run",
+            {
+                "target": path.decode("latin-1"),
+                **_connection_fields(connection),
+            },
+        )
+
     async def _serve_one(self, connection: connection_lib.Connection) -> bool:
-        limits = self.limits()
         try:
-            head = await self._read_head(connection, limits)
+            head = await self._read_head(connection)
         except errors.ProtocolError as error:
             await self._reject(connection, error.status)
             return False
         if head is None:
             return False
         self.active += 1
-        self.no_active_requests.clear()
         try:
-            return await self._serve_request(connection, head, limits)
+            return await self._serve_request(connection, head)
         finally:
             self.active -= 1
-            if not self.active:
-                self.no_active_requests.set()
 
     async def _serve_request(
         self,
         connection: connection_lib.Connection,
         head: h11.Request,
-        limits: Limits,
     ) -> bool:
-        request = await self._read_request(connection, head, limits)
+        request = await self._read_request(connection, head, self.limits())
         if request is None:
             return False
-        reply = Reply(connection, close_after=self.leaving.is_set())
+        reply = Reply(connection, must_close=self.leaving.is_set)
         task = asyncio.current_task()
         try:
             if connection.lost.is_set():
                 # The response could not be delivered, so do not run it.
+                self._report_not_run(connection, request)
                 return False
             connection.cancel_when_lost(task)
             await self.handler(request, reply)
         except asyncio.CancelledError:
+            if not reply.finished:
+                reason = connection.end_reason or "cut_off"
+                self.unanswered["serving", reason] += 1
             if not connection.lost.is_set():
                 raise
             if task is not None:
                 task.uncancel()
             return False
+        except Exception:
+            if not reply.finished:
+                reason = connection.end_reason or "handler_error"
+                self.unanswered["serving", reason] += 1
+            raise
         finally:
             connection.cancel_when_lost(None)
             self.buffered_bytes -= len(request.body)
         if not reply.finished:
             reply.break_off()
+            self.unanswered["serving", connection.end_reason] += 1
             return False
-        if reply.close_after or self.leaving.is_set():
+        if reply.close_after:
+            if connection.message_bytes:
+                self._report_unfinished(
+                    connection, "received after the last request"
+                )
+            return False
+        if self.leaving.is_set() and not connection.has_received():
             return False
         return connection.start_next_message()
 
@@ -337,13 +469,23 @@
         )
 
     async def _read_head(
-        self, connection: connection_lib.Connection, limits: Limits
+        self, connection: connection_lib.Connection
     ) -> h11.Request | None:
         self.idle.add(connection)
-        wait = limits.idle_timeout + limits.head_timeout
+        began_at = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(wait.total_seconds()):
-                event = await connection.next_event()
+            event = None
+            while event is None:
+                limits = self.limits()
+                wait = limits.idle_timeout + limits.head_timeout
+                try:
+                    event = await _next_event(
+                        connection, began_at + wait.total_seconds()
+                    )
+                except TimeoutError:
+                    # A newer configuration may allow longer idle times.
+                    if self.limits() == limits:
+                        raise
         finally:
             self.idle.discard(connection)
         return event if isinstance(event, h11.Request) else None
@@ -358,14 +500,15 @@
             connection.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
+        loop = asyncio.get_running_loop()
         parts: list[bytes] = []
         size = 0
         try:
             # There is no limit on the total time of a body, only on the time
             # without data.
             while True:
-                async with asyncio.timeout(limits.idle_timeout.total_seconds()):
-                    event = await connection.next_event()
+                deadline = loop.time() + limits.idle_timeout.total_seconds()
+                event = await _next_event(connection, deadline)
                 if not isinstance(event, h11.Data):
                     break
                 size += len(event.data)
@@ -389,7 +532,7 @@
         self, connection: connection_lib.Connection, status: int
     ) -> None:
         self.report("request_rejected", {"status": status})
-        reply = Reply(connection, close_after=True)
+        reply = Reply(connection, must_close=lambda: True)
         try:
             reply.answer(status, [])
         except (errors.HttpError, h11.LocalProtocolError):
