--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
@@ -42,12 +42,6 @@
     engine_end: ClassVar[str] = "no_valid_response"
 
 
-class LateResponseError(OutcomeUnknownError):
-    """The response did not arrive within the time of the attempt."""
-
-    engine_end = "left_late"
-
-
 class RequestRejectedError(GatewayError):
     """The request is rejected and will not run.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from typing import TypeAlias, cast, final
 
@@ -22,6 +23,15 @@
 # of the kernel is about 15 minutes.
 UNACKNOWLEDGED_TIMEOUT_MS = 4_000
 
+# A connection fails if a peer sends more informational responses (1xx) than
+# this before a response.
+MAX_INFORMATIONAL_RESPONSES = 64
+
+# The task that reads or writes a connection lets others run after this many
+# events, so that one peer with many small chunks does not delay other
+# connections.
+MAX_EVENTS_PER_TURN = 64
+
 MessageEvent: TypeAlias = (
     h11.Request
     | h11.InformationalResponse
@@ -70,6 +80,8 @@
         self.unparsed_bytes = 0
         self.message_number = 1
         self.message_bytes = 0
+        self._informational_responses = 0
+        self._events_in_turn = 0
         self._eof_fed = False
         self._ended = asyncio.Event()
         self._readable = asyncio.Event()
@@ -139,6 +151,7 @@
             ConnectionLostError: the connection ended before the message did.
             ProtocolError: the received bytes are not valid HTTP.
         """
+        await self._let_others_run()
         while True:
             event = self._parse()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
@@ -152,6 +165,12 @@
             self._readable.clear()
             self._resume_reading()
             await self._readable.wait()
+            self._events_in_turn = 0
+
+    @property
+    def readable(self) -> bool:
+        """True if data or the end has arrived since the last read."""
+        return self._readable.is_set()
 
     async def wait_readable(self) -> None:
         """Waits until data arrives or the connection ends."""
@@ -173,6 +192,7 @@
 
     async def drain(self) -> None:
         """Waits until the write buffer has space again."""
+        await self._let_others_run()
         await self._writable.wait()
         if self.transport is None or self.transport.is_closing():
             raise errors.ConnectionLostError("the connection has ended")
@@ -226,13 +246,25 @@
 
     @property
     def unread_bytes(self) -> bool:
-        """True if bytes have arrived after the end of the message."""
+        """True if bytes have arrived that belong to no parsed message."""
         return bool(self.parser.trailing_data[0])
 
-    @property
-    def received_while_idle(self) -> bool:
-        """True if bytes have arrived while no request was in progress."""
-        return self.unparsed_bytes > 0
+    def has_received(self) -> bool:
+        """Returns whether bytes or a close wait to be parsed or read.
+
+        Includes those that the kernel has received and the event loop has not
+        read yet.
+        """
+        if self.unread_bytes:
+            return True
+        if self.transport is None:
+            return False
+        raw = self.transport.get_extra_info("socket")
+        if raw is None or raw.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     @property
     def all_sent(self) -> bool:
@@ -278,10 +310,28 @@
             self.unparsed_bytes = max(0, self.unparsed_bytes - len(event.data))
         elif isinstance(event, h11.EndOfMessage) or event is h11.NEED_DATA:
             self.unparsed_bytes = 0
+        elif isinstance(event, h11.InformationalResponse):
+            self._count_informational_response()
+        elif isinstance(event, h11.Response):
+            self._informational_responses = 0
         if isinstance(event, h11.EndOfMessage):
             self.message_bytes = len(self.parser.trailing_data[0])
         return event
 
+    def _count_informational_response(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+            raise errors.ProtocolError(
+                f"more than {MAX_INFORMATIONAL_RESPONSES} informational "
+                "responses before a response"
+            )
+
+    async def _let_others_run(self) -> None:
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
+
     def _feed_eof(self) -> None:
         with contextlib.suppress(h11.RemoteProtocolError):
             self.parser.receive_data(b"")
