Late requests that may outlast the shutdown are rejected

What callers would see: a request read after the listener has closed (a head that arrived in two parts, a body that took long, a next request after an unannounced close) was passed on and then cut off at the end of the grace period.

Cause: a node served each request it read until the end of the grace period.

Ruled out: rejecting all late requests; one whose timeout is within the grace period gets its answer or a status in time.

Handler.stop() sets the same limit to now. The wait for first requests moves from Server.drain() to close_listener(), so that the limit applies after it.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import math
 import random
 from typing import final
 
@@ -35,7 +36,8 @@
         active: number of requests in progress, by adapter.
         begun: number of requests started, by adapter.
         timeouts: the timeouts of all requests in progress.
-        stopped: whether `stop` was called.
+        end_at: loop time by which new requests must end; one whose timeout is
+            later is rejected.
     """
 
     def __init__(
@@ -61,18 +63,17 @@
         self.active: dict[models.AdapterKey, int] = {}
         self.begun: dict[models.AdapterKey, int] = {}
         self.timeouts: set[asyncio.Timeout] = set()
-        self.stopped = False
+        self.end_at = math.inf
 
     def stop(self) -> None:
         """Ends all requests in progress as if they had timed out.
 
         A response that has begun is broken off. Later requests are rejected.
         """
-        self.stopped = True
-        now = asyncio.get_running_loop().time()
+        self.end_at = asyncio.get_running_loop().time()
         for timeout in self.timeouts:
             if not timeout.expired():
-                timeout.reschedule(now)
+                timeout.reschedule(self.end_at)
 
     async def handle(self, raw: server.RawRequest, reply: server.Reply) -> None:
         """Serves one request; see `http1.server.Handler`."""
@@ -143,8 +144,10 @@
         timeout = asyncio.timeout_at(call.gateway_timeout_at)
         self.timeouts.add(timeout)
         try:
-            if self.stopped:
-                raise TimeoutError
+            if call.gateway_timeout_at > self.end_at:
+                raise errors.RequestRejectedError(
+                    "shutdown_unsent", retry_after=datetime.timedelta(0)
+                )
             async with timeout:
                 if call.request.adapter is None:
                     await self.plain.forward(call, reply)
@@ -155,7 +158,8 @@
         except errors.OutcomeUnknownError:
             return self._end_outcome_unknown(call, reply, 502, "unknown")
         except TimeoutError:
-            reason = "shutdown" if self.stopped else "timed_out"
+            stopped = asyncio.get_running_loop().time() >= self.end_at
+            reason = "shutdown" if stopped else "timed_out"
             if call.tried_engines:
                 return self._end_outcome_unknown(call, reply, 504, reason)
             refusal = errors.RequestRejectedError(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -241,14 +241,13 @@
             if not connection.has_received():
                 connection.close()
 
-    async def drain(self) -> None:
-        """Stops accepting and waits until all responses have been sent.
-
-        Connections that were accepted before are served first, also if their
-        request has not been read yet.
-        """
+    async def close_listener(self) -> None:
+        """Stops accepting; waits for the first requests of accepted callers."""
         self.stop_accepting()
         await asyncio.sleep(FIRST_REQUEST_DELAY.total_seconds())
+
+    async def drain(self) -> None:
+        """Closes idle connections; waits until all responses have been sent."""
         self.close_idle()
         while self.tasks:
             await asyncio.wait(self.tasks)
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -185,7 +185,7 @@
             await asyncio.sleep(0.001)
         harness.server.leave()
         draining = asyncio.create_task(harness.server.drain())
-        await asyncio.sleep(2 * server_lib.FIRST_REQUEST_DELAY.total_seconds())
+        await asyncio.sleep(0.1)
         assert not draining.done()
         writer.write(b"body")
         answer = await reader.read()
@@ -223,12 +223,13 @@
     reader, writer = await harness.connect()
     await harness.idle_connection()
     harness.server.leave()
-    draining = asyncio.create_task(harness.server.drain())
+    closing = asyncio.create_task(harness.server.close_listener())
     await asyncio.sleep(server_lib.FIRST_REQUEST_DELAY.total_seconds() / 2)
     writer.write(REQUEST % 1)
     async with asyncio.timeout(5):
         answer = await reader.read()
-        await draining
+        await closing
+        await harness.server.drain()
     writer.close()
     assert answer.endswith(b"done")
 
