--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import datetime
 import itertools
+import math
 import random
 import traceback
 from typing import final
@@ -41,7 +42,8 @@
         begun: number of requests started, by adapter.
         running: requests in progress.
         timeouts: the timeouts of all requests in progress.
-        stopped: whether `stop` was called.
+        end_at: loop time by which new requests must end; one whose timeout is
+            later is rejected.
     """
 
     def __init__(
@@ -68,7 +70,7 @@
         self.begun: dict[models.AdapterKey, int] = {}
         self.running: set[call_lib.Call] = set()
         self.timeouts: set[asyncio.Timeout] = set()
-        self.stopped = False
+        self.end_at = math.inf
 
     def running_requests(self) -> list[str]:
         """Returns ids of requests in progress, `MAX_NAMED_REQUESTS` at most."""
@@ -80,11 +82,10 @@
 
         A response that has begun is broken off. Later requests are rejected.
         """
-        self.stopped = True
-        now = asyncio.get_running_loop().time()
+        self.end_at = asyncio.get_running_loop().time()
         for timeout in self.timeouts:
             if not timeout.expired():
-                timeout.reschedule(now)
+                timeout.reschedule(self.end_at)
 
     async def handle(self, raw: server.RawRequest, reply: server.Reply) -> None:
         """Serves one request; see `http1.server.Handler`."""
@@ -168,8 +169,10 @@
         timeout = asyncio.timeout_at(call.gateway_timeout_at)
         self.timeouts.add(timeout)
         try:
-            if self.stopped:
-                raise TimeoutError
+            if call.gateway_timeout_at > self.end_at:
+                raise errors.RequestRejectedError(
+                    "shutdown_unsent", retry_after=datetime.timedelta(0)
+                )
             async with timeout:
                 if call.request.adapter is None:
                     await self.plain.forward(call, reply)
@@ -180,7 +183,8 @@
         except errors.OutcomeUnknownError:
             return self._end_outcome_unknown(call, reply, 502, "unknown")
         except TimeoutError:
-            reason = "shutdown" if self.stopped else "timed_out"
+            stopped = asyncio.get_running_loop().time() >= self.end_at
+            reason = "shutdown" if stopped else "timed_out"
             if call.tried_engines:
                 return self._end_outcome_unknown(call, reply, 504, reason)
             refusal = errors.RequestRejectedError(
