An interrupted response to a caller of HTTP/1.0 ends with a reset

Callers saw: a part of a long response or a stream that looked complete, on a connection of HTTP/1.0. Cause: such a response has no framing; its end is the close of the connection, and a response that was broken off ended with a close as well. Ruled out: callers of HTTP/1.1, whose responses have a length or chunks. Without a linger time of 0, dropping the connection also ends it with a regular close.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from typing import TypeAlias, cast, final
 
 import h11
@@ -246,6 +247,17 @@
             self.transport.abort()
         self._mark_lost()
 
+    def reset_peer(self) -> None:
+        """Drops the connection at once; the peer sees a reset, no close."""
+        if self.transport is not None:
+            raw = self.transport.get_extra_info("socket")
+            if raw is not None and not self.transport.is_closing():
+                # Closing with a linger time of 0 sends a reset.
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+        self.abort()
+
     def cancel_when_lost(self, task: asyncio.Task[None] | None) -> None:
         """Cancels `task` when the connection ends; None disables this."""
         self._on_lost = task
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -130,8 +130,12 @@
         self.finish()
 
     def break_off(self) -> None:
-        """Closes the connection, so that the response is not complete."""
-        self.connection.close()
+        """Ends the connection, so that the response is not complete."""
+        if self.begun and self.connection.parser.their_http_version == b"1.0":
+            # The body has no framing: a close would mark it as complete.
+            self.connection.reset_peer()
+        else:
+            self.connection.close()
 
 
 def _check_framing(head: h11.Request) -> None:
