A request that finds no free connection counts as not sent

Callers saw: a 503 although another endpoint had room, while all connections of the node to the chosen endpoint were in use and the retry budget was spent. Cause: the refusal by the node's own pool was treated as one by the endpoint: it took a retry and one of the engines that the route allows. Evidence: the test sees 503 on the code before, without a byte sent. Ruled out: a refusal by the engine, which still takes a retry. Nothing was sent, so the next endpoint is chosen as after a failed connect.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -268,7 +268,7 @@
                 fresh_only=not repeatable
             )
         except http_errors.PoolFullError as error:
-            raise errors.NotRunError(str(error)) from error
+            raise errors.NotRunError(str(error), unreachable=True) from error
         except http_errors.ConnectError as error:
             engine.health.record_failure(
                 self._connect_failure(engine_connections), now
