Forward a long failure of a stream's engine instead of collecting it

What callers saw: nothing until the deadline. While an engine sent the body of a failure without end, the node kept all of it in memory: 25 MB after the 24 MiB that the test sends, without an upper bound until the deadline of the request.

Cause: Relay._relay_failure collected the whole body.

Change: as for plain services, a failure that exceeds the buffer (256 KiB) is forwarded as it arrives, so that the caller gets the failure's status and, at the deadline, a visibly incomplete body. A resumable stream that may use another engine leaves at that size.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -325,13 +325,33 @@
             raise errors.OutcomeUnknownError(
                 f"status {response.head.status} instead of the resumed stream"
             )
-        body = [chunk async for chunk in response.chunks()]
-        if self.call.route.resumable and self.call.may_try_another_engine:
-            raise errors.OutcomeUnknownError(f"status {response.head.status}")
+        buffered: list[bytes] = []
+        size = 0
+        async for chunk in response.chunks():
+            size += len(chunk)
+            buffered.append(chunk)
+            if size <= plain.MAX_BUFFERED_RESPONSE_BYTES:
+                continue
+            self._check_failure_is_final(response.head)
+            self._begin(response.head)
+            for part in buffered:
+                await self.reply.write(part)
+            buffered.clear()
+        if size > plain.MAX_BUFFERED_RESPONSE_BYTES:
+            self.reply.finish()
+            return
+        self._check_failure_is_final(response.head)
         self.reply.answer(
-            response.head.status, list(response.head.headers), b"".join(body)
+            response.head.status,
+            list(response.head.headers),
+            b"".join(buffered),
         )
 
+    def _check_failure_is_final(self, head: requests.ResponseHead) -> None:
+        """Raises OutcomeUnknownError if another engine may respond."""
+        if self.call.route.resumable and self.call.may_try_another_engine:
+            raise errors.OutcomeUnknownError(f"status {head.status}")
+
     async def _relay_events(
         self,
         response: sender_lib.OpenResponse,
