Close an idle connection as soon as bytes arrive on it

What was seen: an engine that went on sending after a complete response kept the connection open until the next request to that engine, without a limit in time if there was none. The bytes, up to 384 KiB a connection, stayed in memory. Callers got whole responses.

Cause: ConnectionPool checks for such bytes when a connection is returned and when it is used again, not in between.

Evidence: test_bytes_after_a_response_belong_to_no_request[dripping-length] and [dripping-chunked] failed before (still open after 1 s) and pass now. The cases with bytes at full speed pass before and after.

Change: while a connection is idle in a pool, received bytes end it.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -52,6 +52,8 @@
         eof: whether the peer has closed its side.
         idle_since: loop time of the last use, set by the connection pool.
         unparsed_bytes: bytes received that the parser has not consumed yet.
+        pooled: whether the connection is idle in a pool, so that received
+            bytes belong to no request and end it.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.eof = False
         self.idle_since = 0.0
         self.unparsed_bytes = 0
+        self.pooled = False
         self._informational_responses = 0
         self._events_in_turn = 0
         self._eof_fed = False
@@ -101,6 +104,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser."""
+        if self.pooled:
+            self.abort()
+            return
         self.parser.receive_data(data)
         self.unparsed_bytes += len(data)
         if (
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -95,6 +95,7 @@
             connection.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
+        connection.pooled = True
         self.idle.append(connection)
 
     def discard(self, connection: connection_lib.Connection) -> None:
@@ -137,6 +138,7 @@
                     return None
                 idle_connection.close()
                 continue
+            idle_connection.pooled = False
             return idle_connection
         return None
 
