--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -405,16 +405,15 @@
         buffered: list[bytes] = []
         size = 0
         async for chunk in response.chunks():
-            if size <= plain.MAX_BUFFERED_RESPONSE_BYTES < size + len(chunk):
-                self._check_failure_is_final(response.head)
-                self._begin(response.head)
-                for part in buffered:
-                    await self.reply.write(part)
             size += len(chunk)
+            buffered.append(chunk)
             if size <= plain.MAX_BUFFERED_RESPONSE_BYTES:
-                buffered.append(chunk)
-            else:
-                await self.reply.write(chunk)
+                continue
+            self._check_failure_is_final(response.head)
+            self._begin(response.head)
+            for part in buffered:
+                await self.reply.write(part)
+            buffered.clear()
         if size > plain.MAX_BUFFERED_RESPONSE_BYTES:
             self.reply.finish()
             return
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -61,6 +61,8 @@
         message_number: number of the current message on this connection,
             starting at 1.
         message_bytes: bytes received of a message that is not complete.
+        pooled: whether the connection is idle in a pool, so that received
+            bytes belong to no request and end it.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.unparsed_bytes = 0
         self.message_number = 1
         self.message_bytes = 0
+        self.pooled = False
         self._informational_responses = 0
         self._events_in_turn = 0
         self._eof_fed = False
@@ -113,6 +116,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser."""
+        if self.pooled:
+            self.abort()
+            return
         self.parser.receive_data(data)
         self.unparsed_bytes += len(data)
         self.message_bytes += len(data)
