The retry for a return is reserved, not counted and taken back

Callers would see refusals, or the limit on retries exceeded (BUDGET), after many requests have left engines that pause. Not seen in a log.

Cause: the retry for a return to the first engine was counted as sent when the engine was left. `give_back` then removed the latest retry of the service, which may be one that another request sent later, so a node could count a retry for less than a window. It was never given back if the next engine answered with a failure, if a second switch replaced the first, or if the request ended.

Evidence: two tests failed on the code before (a retry taken meanwhile is not counted at the end of its window; one retry too many after a 500) and pass now.

Ruled out: giving back by time stamp only. The return may be sent seconds after the switch and would count in the wrong window.

Change: the retry is reserved without a time, counts against the budget while the request may return, is taken at the time of the return, and is released at the end of the request in every case.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/retry_budget.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/retry_budget.py
@@ -35,6 +35,7 @@
         request_shared_retry: requests a retry of a service from the shared
             budget.
         unreported: by service, requests not yet reported to the leader.
+        reserved: by service, retries that requests in progress may still take.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.max_nodes_at = 0.0
         self.requests: dict[str, collections.deque[float]] = {}
         self.retries: dict[str, collections.deque[float]] = {}
+        self.reserved: collections.Counter[str] = collections.Counter()
 
     def record_request(self, service: str, now: float) -> None:
         """Counts a caller's request."""
@@ -69,7 +71,7 @@
         allowed = self.ratio * LOCAL_RATIO_FRACTION * requests
         if nodes := self._sharing_nodes(now):
             allowed += self.extra * LOCAL_EXTRA_FRACTION / nodes
-        return allowed - retried
+        return allowed - retried - self.reserved[service]
 
     def _sharing_nodes(self, now: float) -> int:
         """Returns the highest number of nodes known within a window.
@@ -85,21 +87,36 @@
 
     async def take(self, service: str, now: float) -> bool:
         """Takes one retry from the local or the shared budget, if any."""
-        return self.take_local(service, now, 1) or (
+        return self.take_local(service, now) or (
             await self.request_shared_retry(service)
         )
 
-    def take_local(self, service: str, now: float, count: int) -> bool:
-        """Takes `count` retries from the local budget, or none."""
-        if self.left(service, now) < count:
+    def take_local(self, service: str, now: float, *, reserve: int = 0) -> bool:
+        """Takes one retry from the local budget, if any.
+
+        Args:
+            service: the service of the request.
+            now: loop time.
+            reserve: number of retries to reserve as well. Each of them has to
+                be taken with `take_reserved` or released with `release`.
+
+        Returns:
+            Whether the retries were taken and reserved, all of them.
+        """
+        if self.left(service, now) < 1 + reserve:
             return False
-        self._recent(self.retries, service, now).extend([now] * count)
+        self._recent(self.retries, service, now).append(now)
+        self.reserved[service] += reserve
         return True
 
-    def give_back(self, service: str) -> None:
-        """Returns the latest retry that was taken locally and is not needed."""
-        if retries := self.retries.get(service):
-            retries.pop()
+    def take_reserved(self, service: str, now: float) -> None:
+        """Takes a retry that was reserved."""
+        self.release(service)
+        self._recent(self.retries, service, now).append(now)
+
+    def release(self, service: str) -> None:
+        """Returns a reserved retry to the local budget."""
+        self.reserved[service] -= 1
 
     def _recent(
         self,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -45,9 +45,9 @@
 # last event.
 RESUME_TIMEOUT = datetime.timedelta(milliseconds=900)
 
-# Retries that are taken before an engine that does not respond is left: one for
-# the next engine, and one to return if that engine does not run the request.
-SWITCH_RETRIES = 2
+# Retries that are reserved before an engine that does not respond is left, to
+# return to it if the next engine does not run the request.
+RETURN_RETRIES = 1
 
 # How often a request is sent again after the engine did not hold the adapter.
 MAX_MISDIRECTED_RETRIES = 3
@@ -76,6 +76,14 @@
             OutcomeUnknownError: the request may have run.
         """
         relay = Relay(call, reply)
+        try:
+            await self._forward_until_answered(call, relay)
+        finally:
+            self._end_return_option(call, relay)
+
+    async def _forward_until_answered(
+        self, call: call_lib.Call, relay: "Relay"
+    ) -> None:
         misdirected = 0
         absent_from = ""
         selection: engine_finder_lib.EngineSelection | None = None
@@ -164,20 +172,22 @@
         """Returns the selection of the engine that was left, at most once.
 
         That engine did not fail: it was left because its response paused. The
-        retry for the return was acquired before it was left.
+        retry for the return was reserved before it was left.
         """
         selection = relay.left_selection
-        relay.left_selection = None
         if selection is None or not selection.engine.accepts_requests:
             return None
+        relay.left_selection = None
+        now = asyncio.get_running_loop().time()
+        self.budget.take_reserved(call.service, now)
         call.add_step(f"returned {selection.engine.engine_id}")
         return selection
 
     def _end_return_option(self, call: call_lib.Call, relay: "Relay") -> None:
-        """Gives back the retry for a return, as another engine responded."""
+        """Releases the retry for a return to the engine that was left."""
         if relay.left_selection is not None:
             relay.left_selection = None
-            self.budget.give_back(call.service)
+            self.budget.release(call.service)
 
     def _handle_misdirected(
         self, call: call_lib.Call, engine: engines_lib.Engine
@@ -270,7 +280,7 @@
         return (
             call.may_try_another_engine
             and bool(others)
-            and self.budget.left(call.service, now) >= SWITCH_RETRIES
+            and self.budget.left(call.service, now) >= 1 + RETURN_RETRIES
         )
 
     async def _prepare_switch(
@@ -296,9 +306,12 @@
             call.add_step(f"kept {current.engine.engine_id}: {error.reason}")
             return False
         now = asyncio.get_running_loop().time()
-        if not self.budget.take_local(call.service, now, SWITCH_RETRIES):
+        if not self.budget.take_local(
+            call.service, now, reserve=RETURN_RETRIES
+        ):
             call.add_step(f"kept {current.engine.engine_id}: no_retry_left")
             return False
+        self._end_return_option(call, relay)
         relay.prepared_selection = selection
         relay.left_selection = current
         return True
