A return to an engine follows the newest adapter version

Callers would get a response of an outdated adapter (VERSION). Not seen in a log.

Cause: a request that returns to its first engine reused the selection of then, with the version that was the newest when the request was first sent, which may be many seconds ago.

Ruled out: to select the engine anew. It is excluded because it was tried, and the leader would be asked although the engine is known.

Change: the return states the oldest version that is still allowed, as a request without a leader does; an engine that does not hold it refuses the request without running it.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import dataclasses
 import datetime
 import functools
 from typing import final
@@ -181,7 +182,12 @@
         now = asyncio.get_running_loop().time()
         self.budget.take_reserved(call.service, now)
         call.add_step(f"returned {selection.engine.engine_id}")
-        return selection
+        # A newer version may have been declared since the engine was selected.
+        assert call.request.adapter is not None
+        lowest = self.engine_finder.versions.lowest_allowed(
+            call.request.adapter, now
+        )
+        return dataclasses.replace(selection, version=lowest or None)
 
     def _end_return_option(self, call: call_lib.Call, relay: "Relay") -> None:
         """Releases the retry for a return to the engine that was left."""
