A late response that pauses does not end the request behind it

Callers would see a 502, or a stream cut (LOST), although their engine was about to answer. Not seen in a log.

Cause: before a response, the connection may deliver a late one to an earlier request. A pause of 0.7 s in that one counted as a silent engine, and the request was ended or left the engine without a place elsewhere, also one that may run only once.

Evidence: the test, for a request of either kind, got 502 on the code before and passes with this change.

Ruled out: to skip the limit for all requests. One that may be repeated would wait for an engine that has stopped although another one is free.

Change: the pause is handled as in the response itself: it is left only for a secured engine, and awaited if the request may not be repeated.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -424,7 +424,7 @@
                 )
             if decoded.request_id == request.request_id:
                 return response
-            await self._drain_response(response)
+            await self._drain_response(response, prepare_switch)
             if not connection.expect_next_response(head):
                 break
         raise errors.OutcomeUnknownError(
@@ -514,6 +514,14 @@
             response.complete = False
         response.close()
 
-    async def _drain_response(self, response: OpenResponse) -> None:
-        async for _ in response.chunks(silence_timeout=SILENCE_TIMEOUT):
+    async def _drain_response(
+        self,
+        response: OpenResponse,
+        prepare_switch: Callable[[], Awaitable[bool]] | None,
+    ) -> None:
+        """Reads a response to another request; see `open` for the arguments."""
+        limit = None if prepare_switch is None else SILENCE_TIMEOUT
+        async for _ in response.chunks(
+            silence_timeout=limit, prepare_switch=prepare_switch
+        ):
             pass
