A switch is not made if the engine has sent data meanwhile

Callers would see later events, and the budget for retries spent, after a node had stood still while it waited for a slot elsewhere. Not seen in a log.

Cause: reads before it judges an engine, but the judgement is followed by up to 0.9 s of waiting for another engine. If the node stands still then, the slot and the engine's data arrive in one turn of the event loop, and the switch won: the data was discarded and the answer was begun anew elsewhere.

Ruled out: to prefer the data after the switch is prepared. The retries would be taken by then and the selection of the next engine kept for later.

Change: the connection is checked before the retries are taken.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 import datetime
 import functools
-from typing import TypeVar, final
+from typing import TypeAlias, TypeVar, final
 
 import h11
 
@@ -20,6 +20,12 @@
 
 _T = TypeVar("_T")
 
+# Secures another engine for the request on a connection that receives no data.
+# Returns False if that fails, or if data has arrived meanwhile.
+PrepareSwitch: TypeAlias = Callable[
+    [connection_lib.Connection], Awaitable[bool]
+]
+
 # Responses to earlier requests that are skipped on one connection before the
 # outcome counts as unknown.
 MAX_STALE_RESPONSES = 3
@@ -144,14 +150,14 @@
 
 
 async def _data_arrives_first(
-    connection: connection_lib.Connection, preparing: Awaitable[bool]
+    connection: connection_lib.Connection, prepare_switch: PrepareSwitch
 ) -> bool:
     """Waits for data or until a switch to another engine is prepared.
 
     Returns:
         Whether to go on reading from this connection.
     """
-    prepared = asyncio.ensure_future(preparing)
+    prepared = asyncio.ensure_future(prepare_switch(connection))
     readable = asyncio.ensure_future(connection.wait_readable())
     try:
         await asyncio.wait(
@@ -218,7 +224,7 @@
         self,
         *,
         silence_timeout: datetime.timedelta | None = None,
-        prepare_switch: Callable[[], Awaitable[bool]] | None = None,
+        prepare_switch: PrepareSwitch | None = None,
     ) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
@@ -243,7 +249,7 @@
                 )
             except TimeoutError as error:
                 if prepare_switch is not None and await _data_arrives_first(
-                    self.connection, prepare_switch()
+                    self.connection, prepare_switch
                 ):
                     continue
                 raise SilentEngineError(
@@ -295,7 +301,7 @@
         parameters: requests.DispatchParameters,
         *,
         repeatable: bool,
-        prepare_switch: Callable[[], Awaitable[bool]] | None = None,
+        prepare_switch: PrepareSwitch | None = None,
     ) -> OpenResponse:
         """Sends a request and reads the head of the response.
 
@@ -387,7 +393,7 @@
         connection: connection_lib.Connection,
         request: requests.Request,
         parameters: requests.DispatchParameters,
-        prepare_switch: Callable[[], Awaitable[bool]] | None,
+        prepare_switch: PrepareSwitch | None,
     ) -> OpenResponse:
         head = h11.Request(
             method=request.raw.method,
@@ -437,7 +443,7 @@
         engine_connections: EngineConnections,
         connection: connection_lib.Connection,
         parameters: requests.DispatchParameters,
-        prepare_switch: Callable[[], Awaitable[bool]] | None,
+        prepare_switch: PrepareSwitch | None,
     ) -> h11.Response:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
@@ -460,7 +466,7 @@
                 )
                 if reason is None or prepare_switch is None:
                     continue
-                if await _data_arrives_first(connection, prepare_switch()):
+                if await _data_arrives_first(connection, prepare_switch):
                     check_interval = SWITCH_RETRY_INTERVAL.total_seconds()
                     continue
                 raise reason from error
@@ -517,7 +523,7 @@
     async def _drain_response(
         self,
         response: OpenResponse,
-        prepare_switch: Callable[[], Awaitable[bool]] | None,
+        prepare_switch: PrepareSwitch | None,
     ) -> None:
         """Reads a response to another request; see `open` for the arguments."""
         limit = None if prepare_switch is None else SILENCE_TIMEOUT
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
 import dataclasses
 import datetime
 import functools
@@ -22,6 +21,7 @@
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import sender as sender_lib
+from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import server
 
 # A resumable stream that pauses for this long is continued on another engine:
@@ -294,6 +294,7 @@
         call: call_lib.Call,
         relay: "Relay",
         current: engine_finder_lib.EngineSelection,
+        connection: connection_lib.Connection,
     ) -> bool:
         """Secures another engine for a request whose engine does not respond.
 
@@ -311,6 +312,8 @@
         except errors.RequestRejectedError as error:
             call.add_step(f"kept {current.engine.engine_id}: {error.reason}")
             return False
+        if connection.readable:
+            return False
         now = asyncio.get_running_loop().time()
         if not self.budget.take_local(
             call.service, now, reserve=RETURN_RETRIES
@@ -393,7 +396,7 @@
         self,
         response: sender_lib.OpenResponse,
         *,
-        prepare_switch: Callable[[], Awaitable[bool]] | None,
+        prepare_switch: sender_lib.PrepareSwitch | None,
     ) -> None:
         """Forwards one engine's response to the caller.
 
@@ -431,7 +434,7 @@
     async def _relay_events(
         self,
         response: sender_lib.OpenResponse,
-        prepare_switch: Callable[[], Awaitable[bool]] | None,
+        prepare_switch: sender_lib.PrepareSwitch | None,
     ) -> None:
         splitter = event_stream.EventSplitter()
         chunks = response.chunks(
