--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import dataclasses
 import datetime
 import functools
 from typing import final
@@ -21,6 +21,7 @@
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import sender as sender_lib
+from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import server
 
 # A resumable stream that pauses for this long is continued on another engine:
@@ -45,9 +46,9 @@
 # last event.
 RESUME_TIMEOUT = datetime.timedelta(milliseconds=900)
 
-# Retries that are taken before an engine that does not respond is left: one for
-# the next engine, and one to return if that engine does not run the request.
-SWITCH_RETRIES = 2
+# Retries that are reserved before an engine that does not respond is left, to
+# return to it if the next engine does not run the request.
+RETURN_RETRIES = 1
 
 # How often a request is sent again after the engine did not hold the adapter.
 MAX_MISDIRECTED_RETRIES = 3
@@ -76,6 +77,17 @@
             OutcomeUnknownError: the request may have run.
         """
         relay = Relay(call, reply)
+        try:
+            await self._forward_until_answered(call, relay)
+        except (errors.RequestRejectedError, errors.OutcomeUnknownError):
+            if not relay.answer_with_failure():
+                raise
+        finally:
+            self._end_return_option(call, relay)
+
+    async def _forward_until_answered(
+        self, call: call_lib.Call, relay: "Relay"
+    ) -> None:
         misdirected = 0
         absent_from = ""
         selection: engine_finder_lib.EngineSelection | None = None
@@ -164,20 +176,27 @@
         """Returns the selection of the engine that was left, at most once.
 
         That engine did not fail: it was left because its response paused. The
-        retry for the return was acquired before it was left.
+        retry for the return was reserved before it was left.
         """
         selection = relay.left_selection
-        relay.left_selection = None
         if selection is None or not selection.engine.accepts_requests:
             return None
+        relay.left_selection = None
+        now = asyncio.get_running_loop().time()
+        self.budget.take_reserved(call.service, now)
         call.add_step(f"returned {selection.engine.engine_id}")
-        return selection
+        # A newer version may have been declared since the engine was selected.
+        assert call.request.adapter is not None
+        lowest = self.engine_finder.versions.lowest_allowed(
+            call.request.adapter, now
+        )
+        return dataclasses.replace(selection, version=lowest or None)
 
     def _end_return_option(self, call: call_lib.Call, relay: "Relay") -> None:
-        """Gives back the retry for a return, as another engine responded."""
+        """Releases the retry for a return to the engine that was left."""
         if relay.left_selection is not None:
             relay.left_selection = None
-            self.budget.give_back(call.service)
+            self.budget.release(call.service)
 
     def _handle_misdirected(
         self, call: call_lib.Call, engine: engines_lib.Engine
@@ -270,7 +289,7 @@
         return (
             call.may_try_another_engine
             and bool(others)
-            and self.budget.left(call.service, now) >= SWITCH_RETRIES
+            and self.budget.left(call.service, now) >= 1 + RETURN_RETRIES
         )
 
     async def _prepare_switch(
@@ -278,6 +297,7 @@
         call: call_lib.Call,
         relay: "Relay",
         current: engine_finder_lib.EngineSelection,
+        connection: connection_lib.Connection,
     ) -> bool:
         """Secures another engine for a request whose engine does not respond.
 
@@ -295,10 +315,15 @@
         except errors.RequestRejectedError as error:
             call.add_step(f"kept {current.engine.engine_id}: {error.reason}")
             return False
+        if connection.readable:
+            return False
         now = asyncio.get_running_loop().time()
-        if not self.budget.take_local(call.service, now, SWITCH_RETRIES):
+        if not self.budget.take_local(
+            call.service, now, reserve=RETURN_RETRIES
+        ):
             call.add_step(f"kept {current.engine.engine_id}: no_retry_left")
             return False
+        self._end_return_option(call, relay)
         relay.prepared_selection = selection
         relay.left_selection = current
         return True
@@ -353,6 +378,8 @@
             left, with its retry already taken.
         left_selection: the engine that was left although it had not failed;
             None once another engine has responded.
+        failure: the latest failure that an engine responded with, and its
+            body, kept in case that no other engine responds.
     """
 
     def __init__(self, call: call_lib.Call, reply: server.Reply) -> None:
@@ -361,6 +388,7 @@
         self.last_event_id = call.request.resume_after
         self.prepared_selection: engine_finder_lib.EngineSelection | None = None
         self.left_selection: engine_finder_lib.EngineSelection | None = None
+        self.failure: tuple[requests.ResponseHead, bytes] | None = None
 
     def take_prepared_selection(
         self,
@@ -374,7 +402,7 @@
         self,
         response: sender_lib.OpenResponse,
         *,
-        prepare_switch: Callable[[], Awaitable[bool]] | None,
+        prepare_switch: sender_lib.PrepareSwitch | None,
     ) -> None:
         """Forwards one engine's response to the caller.
 
@@ -417,12 +445,22 @@
         if size > plain.MAX_BUFFERED_RESPONSE_BYTES:
             self.reply.finish()
             return
+        self.failure = (response.head, b"".join(buffered))
         self._check_failure_is_final(response.head)
-        self.reply.answer(
-            response.head.status,
-            list(response.head.headers),
-            b"".join(buffered),
-        )
+        self.answer_with_failure()
+
+    def answer_with_failure(self) -> bool:
+        """Answers with the failure of an engine.
+
+        Returns:
+            False if no engine has responded with a failure, or if a response
+            has begun.
+        """
+        if self.failure is None or self.reply.begun:
+            return False
+        head, body = self.failure
+        self.reply.answer(head.status, list(head.headers), body)
+        return True
 
     def _check_failure_is_final(self, head: requests.ResponseHead) -> None:
         """Raises OutcomeUnknownError if another engine may respond."""
@@ -432,7 +470,7 @@
     async def _relay_events(
         self,
         response: sender_lib.OpenResponse,
-        prepare_switch: Callable[[], Awaitable[bool]] | None,
+        prepare_switch: sender_lib.PrepareSwitch | None,
     ) -> None:
         splitter = event_stream.EventSplitter()
         chunks = response.chunks(
