A stream request gets its engine's failure if no other engine responds

Callers would see a 502 of the node for a request that an engine had answered with a failure of its own.

Cause: the failure of a request that may be repeated was read, dropped and replaced by a retry, before it was known whether there would be one.

Ruled out: to ask for the retry before the failure is dropped. The next engine may still refuse the request.

Change: the latest failure is kept, and is the answer if the request ends without another response.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -79,6 +79,9 @@
         relay = Relay(call, reply)
         try:
             await self._forward_until_answered(call, relay)
+        except (errors.RequestRejectedError, errors.OutcomeUnknownError):
+            if not relay.answer_with_failure():
+                raise
         finally:
             self._end_return_option(call, relay)
 
@@ -375,6 +378,8 @@
             left, with its retry already taken.
         left_selection: the engine that was left although it had not failed;
             None once another engine has responded.
+        failure: the latest failure that an engine responded with, and its
+            body, kept in case that no other engine responds.
     """
 
     def __init__(self, call: call_lib.Call, reply: server.Reply) -> None:
@@ -383,6 +388,7 @@
         self.last_event_id = call.request.resume_after
         self.prepared_selection: engine_finder_lib.EngineSelection | None = None
         self.left_selection: engine_finder_lib.EngineSelection | None = None
+        self.failure: tuple[requests.ResponseHead, bytes] | None = None
 
     def take_prepared_selection(
         self,
@@ -424,12 +430,24 @@
             raise errors.OutcomeUnknownError(
                 f"status {response.head.status} instead of the resumed stream"
             )
-        body = [chunk async for chunk in response.chunks()]
+        body = b"".join([chunk async for chunk in response.chunks()])
+        self.failure = (response.head, body)
         if self.call.route.resumable and self.call.may_try_another_engine:
             raise errors.OutcomeUnknownError(f"status {response.head.status}")
-        self.reply.answer(
-            response.head.status, list(response.head.headers), b"".join(body)
-        )
+        self.answer_with_failure()
+
+    def answer_with_failure(self) -> bool:
+        """Answers with the failure of an engine.
+
+        Returns:
+            False if no engine has responded with a failure, or if a response
+            has begun.
+        """
+        if self.failure is None or self.reply.begun:
+            return False
+        head, body = self.failure
+        self.reply.answer(head.status, list(head.headers), body)
+        return True
 
     async def _relay_events(
         self,
