A slow endpoint is left before another one's response is forwarded

Callers saw nothing. A slow endpoint worked on a request in vain, for as long as another one sent a response longer than the buffer, or as a slow caller read it.

The one that had not responded was closed at the end of the request, not once the other one had.

Evidence: in the test, the slow endpoint completed its response on the code before, and finds its connection closed with this change.

Change: all other attempts end before the response is forwarded.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -118,6 +118,10 @@
         attempts: list[Attempt] = []
         try:
             fetched = await self._fetch(call, attempts)
+            for attempt in tuple(attempts):
+                if attempt.engine is not fetched.engine:
+                    attempts.remove(attempt)
+                    attempt.close()
             await self._relay(call, fetched, reply)
         finally:
             for attempt in attempts:
