A lost connection to the leader does not disable a request's timeout

Callers would see (LOST) a connection closed without an answer: a request whose time was over, or that still ran at the end of the grace period, after the leader had ended while the request waited for a place.

Cause: when a connection ends, grpclib cancels each task that waits for a reply on it, and then raises another error there. The task of the request stays marked as cancelled. `asyncio.timeout` of Python 3.11 raises TimeoutError only if no other cancellation is left, so the timeout of the request raised CancelledError; the server took that for its own end and aborted the connection.

Evidence: the test connects to a peer that closes the connection; the timeout around the call raised CancelledError on the code before, and TimeoutError now.

Ruled out: `uncancel` after the error. It could remove a cancellation by the caller's leaving that arrives in the same turn.

Change: the call to the leader runs in a task of its own.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -258,7 +258,10 @@
         stub = fleet_grpc.FleetStub(self._channel_to(address))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                return await call(stub)
+                # When the connection ends, grpclib cancels the task that waits
+                # for the reply. The caller's task must not count as cancelled:
+                # its own timeouts would no longer raise TimeoutError.
+                return await asyncio.ensure_future(call(stub))
         except peer_channels.CALL_ERRORS as error:
             # A dead connection is noticed only here; the next call opens a new
             # one.
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -351,6 +351,39 @@
     assert "second_send_unasked" in [event for event, _ in other.events]
 
 
+async def test_timeout_expires_after_the_connection_to_the_leader_was_lost(
+    node: Node, other: Node
+) -> None:
+    """Regression (LOST): the request ended with a closed connection.
+
+    The lost connection left the task of the request marked as cancelled, so its
+    own timeout no longer raised TimeoutError.
+    """
+
+    async def close_soon(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(0.1)
+        writer.close()
+
+    closing = await asyncio.start_server(close_soon, "127.0.0.1", 0)
+    port = closing.sockets[0].getsockname()[1]
+    other.leader_client.address = lambda: f"127.0.0.1:{port}"
+    request = adapter_slots_lib.PlacementRequest(
+        key=KEY, version=0, seconds_to_target=1.0, max_wait_seconds=1.0
+    )
+
+    async def wait_for_a_place() -> None:
+        async with asyncio.timeout(1.0):
+            with pytest.raises(leader_client.LeaderUnreachableError):
+                await other.leader_client.place(request)
+            await asyncio.sleep(5.0)
+
+    async with closing:
+        with pytest.raises(TimeoutError):
+            await wait_for_a_place()
+
+
 async def test_placement_queue_uses_measured_load_times(node: Node) -> None:
     """Regression: the estimated load time had fallen below the real one.
 
