Calls between nodes can't disable their caller's timeouts

The same cause acts in two other places: calls that relay the order lease through a peer, and the peer calls of the product's own path, there also when a call times out.

Callers would see a connection closed without an answer (LOST), and a service of the node that ends its loop without a line: the task that made the call stays marked as cancelled, so a timeout around it raises CancelledError.

Evidence: two tests failed before with CancelledError and pass now. Not seen in a log.

Change: one function runs such a call in a task of its own, for all three.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -9,6 +9,7 @@
 from grpclib import client as grpc_client
 
 from _dogwoodhinge import event_log
+from _dogwoodhinge import grpc_calls
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import fleet_grpc
@@ -258,10 +259,7 @@
         stub = fleet_grpc.FleetStub(self._channel_to(address))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                # When the connection ends, grpclib cancels the task that waits
-                # for the reply. The caller's task must not count as cancelled:
-                # its own timeouts would no longer raise TimeoutError.
-                return await asyncio.ensure_future(call(stub))
+                return await grpc_calls.run(call(stub))
         except peer_channels.CALL_ERRORS as error:
             # A dead connection is noticed only here; the next call opens a new
             # one.
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
@@ -13,6 +13,7 @@
 from typing import final
 
 from _dogwoodhinge import event_log
+from _dogwoodhinge import grpc_calls
 from _dogwoodhinge.fleet import fleet_grpc
 from _dogwoodhinge.fleet import fleet_pb2
 from _dogwoodhinge.fleet import order_lease
@@ -177,7 +178,8 @@
     channel = peer_channels.open_channel(peer)
     try:
         async with asyncio.timeout(RELAY_TIMEOUT.total_seconds()):
-            return await fleet_grpc.FleetStub(channel).RelayLease(call)
+            stub = fleet_grpc.FleetStub(channel)
+            return await grpc_calls.run(stub.RelayLease(call))
     except peer_channels.CALL_ERRORS as error:
         raise _NoResponseError(f"{peer}: {error or 'timed out'}") from error
     finally:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/peer/client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/peer/client.py
@@ -12,6 +12,7 @@
 from grpclib import exceptions
 
 from _dogwoodhinge import errors
+from _dogwoodhinge import grpc_calls
 from _dogwoodhinge.peer import peer_grpc
 from _dogwoodhinge.peer import server
 
@@ -79,8 +80,10 @@
         if self.session_id:
             metadata[server.SESSION_HEADER] = self.session_id
         try:
-            return await stub(
-                request, timeout=timeout.total_seconds(), metadata=metadata
+            return await grpc_calls.run(
+                stub(
+                    request, timeout=timeout.total_seconds(), metadata=metadata
+                )
             )
         except grpclib.GRPCError as error:
             if error.status in NOT_RUN_STATUSES:
--- a/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
+++ b/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
@@ -1,5 +1,6 @@
 """Tests of access to the order lease's row through peers."""
 
+import asyncio
 import dataclasses
 import socket
 
@@ -162,3 +163,27 @@
     table = FakeTable(errors.TableUnavailableError("down"))
     answer = await lease_relay.handle_call(table, fleet_pb2.LeaseCall())
     assert answer.outcome == lease_relay.Outcome.UNAVAILABLE
+
+
+async def test_timeout_around_a_call_to_a_peer_that_closes_expires(
+    bench: Bench,
+) -> None:
+    """Regression: the call left the task of its caller marked as cancelled."""
+
+    async def close_soon(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(0.1)
+        writer.close()
+
+    async def read_and_wait() -> None:
+        async with asyncio.timeout(0.5):
+            with pytest.raises(errors.TableUnavailableError):
+                await bench.relayed.read()
+            await asyncio.sleep(5.0)
+
+    async with await asyncio.start_server(close_soon, "127.0.0.1", 0) as peer:
+        port = peer.sockets[0].getsockname()[1]
+        bench.relayed.peers = lambda: (f"127.0.0.1:{port}",)
+        with pytest.raises(TimeoutError):
+            await asyncio.create_task(read_and_wait())
--- a/packages/dogwoodhinge/testing/peer/test_client.py
+++ b/packages/dogwoodhinge/testing/peer/test_client.py
@@ -132,6 +132,26 @@
     assert reply.head_revision == 1
 
 
+async def test_timeout_around_an_unanswered_call_expires(
+    address: str, peers: client.PeerClient
+) -> None:
+    """Regression: the call left the task of its caller marked as cancelled."""
+
+    async def call_and_wait() -> None:
+        async with asyncio.timeout(0.5):
+            with pytest.raises(errors.PeerOutcomeUnknownError):
+                await peers.call(
+                    address,
+                    "Admit",
+                    peer_pb2.AdmitRequest(),
+                    timeout=SHORT_TIMEOUT,
+                )
+            await asyncio.sleep(5.0)
+
+    with pytest.raises(TimeoutError):
+        await asyncio.create_task(call_and_wait())
+
+
 async def test_cancelled_caller_cancels_the_handler(
     address: str, peers: client.PeerClient, admission: FakeAdmission
 ) -> None:
