A stream that pauses does not leave its engine for a full one

Callers saw (LOST): a stream whose engine paused left it for an engine with a slot for its adapter, was refused there at once or after it had waited in the queue until its deadline, and ended in the middle of its answer.

Test: test_stalled_stream_is_kept_while_the_other_engines_are_full failed before.

Ruled out: to stay whatever happens. An engine that sends nothing on any of its connections is left for a full one as before; a second test holds before and after.

Change: a stream that has begun stays at an engine that still sends to others while the engine selected for it has no free request slot.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -368,6 +368,13 @@
             return health_lib.Failure.CONNECT_FAILED
         return health_lib.Failure.UNREACHABLE
 
+    def is_silent(self, engine: engines_lib.Engine, now: float) -> bool:
+        """Returns whether no connection to an engine receives data."""
+        engine_connections = self._engine_connections(engine, now)
+        silence = now - engine_connections.last_byte_at
+        backlog = engine_selection.prefill_backlog_seconds(engine.work)
+        return silence > SILENCE_TIMEOUT.total_seconds() + backlog
+
     def remove_engine(self, engine: engines_lib.Engine) -> None:
         """Closes the idle connections to an engine that is gone."""
         engine_connections = self.connections_by_engine.pop(
@@ -491,8 +498,7 @@
         """Returns the error with which to stop waiting, None to go on."""
         now = asyncio.get_running_loop().time()
         backlog = engine_selection.prefill_backlog_seconds(engine.work)
-        silence = now - engine_connections.last_byte_at
-        if silence > SILENCE_TIMEOUT.total_seconds() + backlog:
+        if self.is_silent(engine, now):
             return SilentEngineError("no data on any connection to the engine")
         overtaken = engine_connections.overtaken_seconds(priority, sent_at)
         if (
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -11,6 +11,7 @@
 import functools
 from typing import final
 
+from _dogwoodhinge.fleet import engine_selection
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.gateway import call as call_lib
@@ -318,6 +319,14 @@
         if connection.readable:
             return False
         now = asyncio.get_running_loop().time()
+        if (
+            relay.reply.begun
+            and not self.sender.is_silent(current.engine, now)
+            and _is_full(selection.engine)
+        ):
+            # A stream that waits in a queue there may as well wait here.
+            call.add_step(f"kept {current.engine.engine_id}: engines_full")
+            return False
         if not self.budget.take_local(
             call.service, now, reserve=RETURN_RETRIES
         ):
@@ -329,6 +338,11 @@
         return True
 
 
+def _is_full(engine: engines_lib.Engine) -> bool:
+    """Returns whether an engine queues further requests."""
+    return engine_selection.load(engine.work, engine.entry.slots) >= 1
+
+
 def priority(prompt_tokens: int, *, time_to_target: float) -> int:
     """Returns the priority of a request on its engine.
 
