--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -9,6 +9,7 @@
 import contextlib
 import select
 import socket
+import struct
 from typing import TypeAlias, cast, final
 
 import h11
@@ -60,6 +61,8 @@
         message_number: number of the current message on this connection,
             starting at 1.
         message_bytes: bytes received of a message that is not complete.
+        pooled: whether the connection is idle in a pool, so that received
+            bytes belong to no request and end it.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         self.unparsed_bytes = 0
         self.message_number = 1
         self.message_bytes = 0
+        self.pooled = False
         self._informational_responses = 0
         self._events_in_turn = 0
         self._eof_fed = False
@@ -112,6 +116,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser."""
+        if self.pooled:
+            self.abort()
+            return
         self.parser.receive_data(data)
         self.unparsed_bytes += len(data)
         self.message_bytes += len(data)
@@ -286,6 +293,17 @@
             self.transport.abort()
         self._mark_lost("aborted_here")
 
+    def reset_peer(self) -> None:
+        """Drops the connection at once; the peer sees a reset, no close."""
+        if self.transport is not None:
+            raw = self.transport.get_extra_info("socket")
+            if raw is not None and not self.transport.is_closing():
+                # Closing with a linger time of 0 sends a reset.
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+        self.abort()
+
     def cancel_when_lost(self, task: asyncio.Task[None] | None) -> None:
         """Cancels `task` when the connection ends; None disables this."""
         self._on_lost = task
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -144,8 +144,12 @@
         self.finish()
 
     def break_off(self) -> None:
-        """Closes the connection, so that the response is not complete."""
-        self.connection.close()
+        """Ends the connection, so that the response is not complete."""
+        if self.begun and self.connection.parser.their_http_version == b"1.0":
+            # The body has no framing: a close would mark it as complete.
+            self.connection.reset_peer()
+        else:
+            self.connection.close()
 
     def connection_fields(self) -> dict[str, object]:
         """Returns the log fields of the caller's connection."""
@@ -285,14 +289,13 @@
         """Number of connections whose responses are not sent completely."""
         return sum(not found.all_sent for found in tuple(self.connections))
 
-    async def drain(self) -> None:
-        """Stops accepting and waits until all responses have been sent.
-
-        Connections that were accepted before are served first, also if their
-        request has not been read yet.
-        """
+    async def close_listener(self) -> None:
+        """Stops accepting; waits for the first requests of accepted callers."""
         self.stop_accepting()
         await asyncio.sleep(FIRST_REQUEST_DELAY.total_seconds())
+
+    async def drain(self) -> None:
+        """Closes idle connections; waits until all responses have been sent."""
         self.close_idle()
         while self.tasks:
             await asyncio.wait(self.tasks)
