No engine is secured for more requests than retries are left

Callers saw nothing. When an engine with many requests goes silent, each of them asked the leader for another engine, which may load the adapter there, and only then found that the others had taken the retries.

Cause: the retries are taken once the engine is secured, so that they are not withheld from other requests; the check before did not count the requests that were being secured.

Ruled out: to reserve the retries before the leader is asked. They would be missing for requests whose engine breaks off meanwhile.

Change: requests that are being secured count as if they had taken their retries.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import datetime
 import functools
@@ -56,7 +57,11 @@
 
 @final
 class StreamForwarder:
-    """Serves routes whose responses are event streams."""
+    """Serves routes whose responses are event streams.
+
+    Attributes:
+        switching: by service, requests that an engine is being secured for.
+    """
 
     def __init__(
         self,
@@ -68,6 +73,7 @@
         self.sender = sender
         self.engine_finder = engine_finder
         self.budget = budget
+        self.switching: collections.Counter[str] = collections.Counter()
 
     async def forward(self, call: call_lib.Call, reply: server.Reply) -> None:
         """Streams a response, from more than one engine if necessary.
@@ -286,10 +292,12 @@
             for other in self.engine_finder.directory.serving(call.service)
             if other is not engine and not other.health.should_avoid(now)
         ]
+        switches = 1 + self.switching[call.service]
+        retries = switches * (1 + RETURN_RETRIES)
         return (
             call.may_try_another_engine
             and bool(others)
-            and self.budget.left(call.service, now) >= 1 + RETURN_RETRIES
+            and self.budget.left(call.service, now) >= retries
         )
 
     async def _prepare_switch(
@@ -310,11 +318,14 @@
         """
         if not self._may_switch_engine(call, current.engine):
             return False
+        self.switching[call.service] += 1
         try:
             selection = await self._find(call, relay, absent_from="")
         except errors.RequestRejectedError as error:
             call.add_step(f"kept {current.engine.engine_id}: {error.reason}")
             return False
+        finally:
+            self.switching[call.service] -= 1
         if connection.readable:
             return False
         now = asyncio.get_running_loop().time()
