A request waits for the next owner from the time at which one is lost

Callers saw a refusal ('no owner of an engine can be reached; retry later', not run) 0.2 s after the owner of their engine had handed it over, although the next owner began 0.95 s after the hand-over.

Cause: the time to wait for an owner (3 s) was counted from the start of the admission. This request had waited for 2.7 s in the queue of the owner that then handed its engine over, so 0.3 s were left for the next one.

Ruled out: a longer wait, which would keep requests waiting when no owner comes.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/admission.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/admission.py
@@ -154,17 +154,21 @@
         await self.release(grant, releases.ReleaseResult())
 
     async def _admit(self, request: AdmissionRequest) -> peer_pb2.Grant:
-        wait_until = min(
-            request.start_by,
-            self.clock.monotonic() + OWNER_WAIT_TIMEOUT.total_seconds(),
-        )
+        # The request may have waited in an owner's queue before that owner was
+        # lost; the wait for the next one starts then.
+        wait_until: float | None = None
         while True:
             answer = await self._try_candidates(request)
             if isinstance(answer, peer_pb2.Grant):
                 return answer
             if answer is not None:
                 raise self._refuse(request, answer)
-            next_at = self.clock.monotonic() + ADMIT_RETRY_DELAY.total_seconds()
+            now = self.clock.monotonic()
+            if wait_until is None:
+                wait_until = min(
+                    request.start_by, now + OWNER_WAIT_TIMEOUT.total_seconds()
+                )
+            next_at = now + ADMIT_RETRY_DELAY.total_seconds()
             if next_at >= wait_until:
                 raise self._refuse(request, _no_owner_refusal(request))
             await self.clock.sleep(ADMIT_RETRY_DELAY)
--- a/packages/dogwoodhinge/testing/dispatch/test_admission.py
+++ b/packages/dogwoodhinge/testing/dispatch/test_admission.py
@@ -165,6 +165,39 @@
     assert waited <= admission_lib.OWNER_WAIT_TIMEOUT
 
 
+async def test_wait_for_the_next_owner_starts_when_an_owner_is_lost(
+    admission: admission_lib.Admission,
+    cluster: dispatch_fakes.FakeCluster,
+    clock: dispatch_fakes.EagerClock,
+) -> None:
+    """Regression: a request that had waited in a queue was refused at once."""
+    cluster.owners.clear()
+    set_peer_owner(cluster, "engine-1")
+
+    def hand_over(address: str, method: str, message: Any) -> None:
+        cluster.owners.clear()
+        clock.seconds += admission_lib.OWNER_WAIT_TIMEOUT.total_seconds() - 0.3
+        cluster.on_call = lambda address, method, message: peer_pb2.AdmitReply(
+            grant=cluster.make_grant(message)
+        )
+        asyncio.get_running_loop().call_soon(take_over_later)
+        raise errors.OwnershipError("handed over")
+
+    def take_over_later() -> None:
+        if clock.seconds < lost_at + 1.0:
+            asyncio.get_running_loop().call_soon(take_over_later)
+        else:
+            set_peer_owner(cluster, "engine-1", token=2)
+
+    lost_at = (
+        clock.seconds + admission_lib.OWNER_WAIT_TIMEOUT.total_seconds() - 0.3
+    )
+    cluster.on_call = hand_over
+    grant = await admission.admit(request(clock))
+    assert grant.engine_id == "engine-1"
+    assert clock.seconds >= lost_at + 1.0
+
+
 async def test_grant_of_a_cancelled_caller_is_released(
     admission: admission_lib.Admission,
     cluster: dispatch_fakes.FakeCluster,
