Engines that leave or want a pause are heard in every answer

Cause: only the list of engines could mark one as leaving, and Retry-After of engines was not read at all.

Now every head that comes from the engine itself counts, also of orders, reports, rejections and late answers to other requests; a 421 under another id does not. Leaving is bound to the incarnation and kept where the list already keeps it, so that no row, outage or reconnect takes it back; an entry without a start time no longer passes for another start. Peers tell each other through the leader, which loads what only the leaving engine held elsewhere. A pause is kept by the steady clock, its end approached by doubling limits; requests that have the time wait, the others are refused at once. Orders and reports are no requests; the leader begins none in a pause.

A late copy on a kept connection made a request that may run once run a second time at another engine (test_late_copy_of_a_rejection_is_no_answer_to_the_next_request).

Ruled out: a separate table of departures per node; the listing already keeps incarnations that left.

--- a/packages/dogwoodctl/src/_dogwoodctl/log_explanation.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/log_explanation.py
@@ -30,6 +30,8 @@
     ),
     "refused_no_endpoint": ("endpoint_gone", "endpoint_leaving"),
     "refused_no_engine": ("endpoint_gone", "endpoint_leaving"),
+    "refused_engines_paused": ("engine_paused",),
+    "refused_engine_refused": ("engine_paused", "endpoint_leaving"),
     "refused_model_absent": ("endpoint_joined", "model_load_ordered"),
     "refused_shutdown": ("leaving", "grace_period_over", "stopped"),
     "broken_off_shutdown": ("leaving", "grace_period_over", "stopped"),
@@ -60,6 +62,8 @@
     "not run.",
     "refused_no_endpoint": "No endpoint of its service took work; not run.",
     "refused_no_engine": "No engine of its service took work; not run.",
+    "refused_engines_paused": "All engines of its service wanted a pause, for "
+    "longer than it could wait; not run.",
     "refused_model_absent": "No engine held its base model; not run.",
     "refused_shutdown": "The node's process stopped before it was sent; "
     "not run.",
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -1,10 +1,13 @@
 """A node's view of the engines and of the adapters loaded on them."""
 
+from collections.abc import Collection
 import dataclasses
+import math
 from typing import final
 
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.fleet import models
+from _dogwoodhinge.fleet import pause as pause_lib
 
 
 @final
@@ -59,6 +62,7 @@
         unread_tokens: prompt tokens of those without a first event yet.
         running_elsewhere: requests of other nodes, from the last sync.
         unread_tokens_elsewhere: prompt tokens of those without a first event.
+        pause: the pause that it has asked this node for.
         held_adapters: adapters on it, from the leader and from its own entry.
     """
 
@@ -71,6 +75,7 @@
         self.running_elsewhere = 0
         self.unread_tokens_elsewhere = 0
         self.health = health_lib.EngineHealth()
+        self.pause = pause_lib.Pause()
         self.held_adapters: dict[models.AdapterKey, HeldAdapter] = {}
 
     @property
@@ -78,6 +83,10 @@
         """True if new requests may be sent to the engine."""
         return self.listed and not self.leaving
 
+    def opens_at(self, now: float) -> float:
+        """Returns the loop time from which its pause allows a request."""
+        return self.pause.opens_at(self.running, now)
+
     @property
     def engine_id(self) -> str:
         """The id by which requests address the engine."""
@@ -126,11 +135,43 @@
 
     def serving(self, service: str) -> list[Engine]:
         """Returns the endpoints of a service that accept new requests."""
-        return [
-            engine
-            for engine in self.engines.values()
-            if engine.entry.service == service and not engine.leaving
-        ]
+        return [e for e in self.of_service(service) if not e.leaving]
+
+    def of_service(self, service: str) -> list[Engine]:
+        """Returns all endpoints of a service."""
+        return [e for e in self.engines.values() if e.entry.service == service]
+
+    def all_leaving(self, service: str) -> bool:
+        """Returns whether a service has endpoints and all are leaving."""
+        known = self.of_service(service)
+        return bool(known) and all(engine.leaving for engine in known)
+
+    def open(self, service: str, now: float) -> list[Engine]:
+        """Returns the serving endpoints whose pauses allow a request now."""
+        return [e for e in self.serving(service) if e.opens_at(now) <= now]
+
+    def opens_at(
+        self, service: str, now: float, *, avoid: Collection[str]
+    ) -> float:
+        """Returns when the pause of a serving endpoint allows a request.
+
+        Args:
+            service: the service.
+            now: loop time.
+            avoid: endpoints that are left out.
+
+        Returns:
+            A loop time, `now` if there is one already; infinite if no endpoint
+            is left.
+        """
+        return min(
+            (
+                engine.opens_at(now)
+                for engine in self.serving(service)
+                if engine.engine_id not in avoid
+            ),
+            default=math.inf,
+        )
 
     def holders(
         self, service: str, key: models.AdapterKey
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -1,11 +1,13 @@
 """gRPC server for the calls of peers."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import TypeAlias, final
 
 from grpclib import server as grpc_server
 
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
+from _dogwoodhinge.fleet import announcements as announcements_lib
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import fleet_grpc
 from _dogwoodhinge.fleet import fleet_pb2
@@ -43,10 +45,12 @@
         leader: leader_lib.Leader,
         lease_table: order_lease.LeaseTable,
         updates: table_updates_lib.TableUpdates,
+        announcements: announcements_lib.Announcements,
     ) -> None:
         self.leader = leader
         self.lease_table = lease_table
         self.updates = updates
+        self.announcements = announcements
 
     async def Place(
         self,
@@ -151,6 +155,7 @@
             self.leader.record_use(use)
         except leader_lib.NotLeaderError:
             return fleet_pb2.SyncReply(not_owner=True)
+        self.record_leaving(request.leaving)
         placement = self.leader.placement
         token = self.leader.lease.token
         changes = None
@@ -179,8 +184,19 @@
             news=self._encode_updates(
                 {n.table: n.revision for n in request.known}
             ),
+            leaving=encode_leaving(self.leader.directory),
         )
 
+    def record_leaving(
+        self, leaving: Iterable[fleet_pb2.LeavingEngine]
+    ) -> None:
+        """Records engines that have told a peer that they are leaving."""
+        for engine in leaving:
+            self.announcements.record_leaving(
+                (engine.engine_id, engine.born_ms),
+                source=announcements_lib.Source.PEER,
+            )
+
     def _encode_updates(
         self, known: dict[str, int]
     ) -> list[fleet_pb2.TableNews]:
@@ -202,6 +218,19 @@
         return encoded
 
 
+def encode_leaving(
+    directory: engines_lib.Directory,
+) -> list[fleet_pb2.LeavingEngine]:
+    """Returns the engines whose own list entries do not say that they leave."""
+    return [
+        fleet_pb2.LeavingEngine(
+            engine_id=engine.engine_id, born_ms=engine.entry.born_ms
+        )
+        for engine in directory.engines.values()
+        if engine.leaving and not engine.entry.leaving
+    ]
+
+
 def _encode_row(row: table_updates_lib.Row) -> fleet_pb2.TableRow:
     return fleet_pb2.TableRow(
         key=row.key, value=row.value or b"", removed=row.value is None
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -334,6 +334,7 @@
     def _track_engines(self) -> None:
         now = asyncio.get_running_loop().time()
         current = {e.engine_id: e for e in self._model_engines()}
+        moved: dict[str, list[models.AdapterKey]] = {}
         for engine_id, order_state in tuple(self.loader.order_states.items()):
             engine = current.get(engine_id)
             if (
@@ -341,10 +342,15 @@
                 or engine.entry.incarnation != order_state.entry.incarnation
             ):
                 del self.loader.order_states[engine_id]
+                wanted = self.placement.sole_popular_adapters(engine_id, now)
                 self.placement.drop_engine(engine_id, now)
+                if engine_id in self.directory.engines:
+                    moved[engine_id] = wanted
                 self.base_models.record_load_end(engine_id)
         for engine_id in current:
             known = self.loader.order_states.get(engine_id)
+            if current[engine_id].pause.is_active(now):
+                continue  # it wants no reports and orders either
             if known is None or known.needs_refresh:
                 self._schedule_read(engine_id)
             elif self.placement.has_unsettled_slots(
@@ -352,6 +358,43 @@
             ):
                 self._start_read(engine_id, self._settle_engine(engine_id))
 
+        for engine_id, adapters in moved.items():
+            self._relocate(engine_id, adapters, now)
+
+    def _relocate(
+        self, engine_id: str, adapters: list[models.AdapterKey], now: float
+    ) -> None:
+        """Loads the adapters of a leaving engine before they are missed.
+
+        Load pattern: the engines of a service are replaced one after the
+        other under load, each with a full set of popular adapters. Requests
+        that already wait for a slot come first.
+        """
+        if self.placement_queue.has_waiters:
+            return
+        loaded = []
+        for key in adapters:
+            request = adapter_slots_lib.PlacementRequest(
+                key=key,
+                version=self.placement.newest.get(key, 0),
+                avoid=frozenset({engine_id}),
+                absent_from="",
+                prompt_tokens=0,
+                seconds_to_target=0.0,
+                max_wait_seconds=0.0,
+            )
+            result = self._find(request, now)
+            if isinstance(result, adapter_slots_lib.NoFreeSlot):
+                break
+            if result.new:
+                self._start_load(result, request)
+                loaded.append(str(key))
+        if loaded:
+            self.report(
+                "adapters_relocated",
+                {"engine": engine_id, "adapters": loaded},
+            )
+
     def _schedule_read(self, engine_id: str) -> None:
         if engine_id not in self.state_reads:
             self._start_read(engine_id, self._read_state(engine_id))
@@ -460,6 +503,8 @@
             return "without_model"
         if penalty > health_lib.AVOID_ABOVE_PENALTY:
             return "failing"
+        if engine.pause.is_active(asyncio.get_running_loop().time()):
+            return "paused"
         return ""
 
     def _penalty(self, engine: engines_lib.Engine, now: float) -> float:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -178,6 +178,7 @@
         request.node = self.node
         request.token = self.known_token
         request.known_change = self.known_change
+        request.leaving.extend(fleet_server.encode_leaving(self.directory))
         request.known.extend(
             fleet_pb2.TableNews(table=table, revision=revision)
             for table, revision in self.local.updates.applied.items()
@@ -218,6 +219,7 @@
         if reply.complete:
             for engine in self.directory.engines.values():
                 engine.held_adapters = {}
+        self.local.record_leaving(reply.leaving)
         for change in reply.changes:
             key = models.AdapterKey(change.model, change.adapter)
             if change.gone:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import dataclasses
 import datetime
 import math
 from typing import final
@@ -65,7 +66,11 @@
             # The first response also contains entries from before the outage.
             self.written.add(entry.engine_id)
         previous = self.directory.engines.get(entry.engine_id)
+        if previous is not None and not entry.born_ms:
+            # An entry without a start time does not tell of another start.
+            entry = dataclasses.replace(entry, born_ms=previous.entry.born_ms)
         was_leaving = previous is not None and previous.leaving
+        was_listed_leaving = previous is not None and previous.entry.leaving
         restarted = (
             previous is not None
             and previous.entry.incarnation != entry.incarnation
@@ -88,10 +93,44 @@
                     "born_ms": entry.born_ms,
                 },
             )
+        if entry.leaving and (restarted or not was_listed_leaving):
+            # Counts also if its responses have said so before: the other
+            # nodes need the entry.
+            self.changes += 1
         if engine.leaving and not was_leaving:
             self.left_incarnations.add(entry.incarnation)
-            self.changes += 1
-            self.report("endpoint_leaving", {"engine": entry.engine_id})
+            self.report(
+                "endpoint_leaving",
+                {"engine": entry.engine_id, "source": "list"},
+            )
+
+    def record_leaving(
+        self, incarnation: tuple[str, int], *, source: str
+    ) -> bool:
+        """Records that an incarnation has said itself that it is leaving.
+
+        No later entry takes this back.
+
+        Args:
+            incarnation: id and start time of the endpoint.
+            source: what it was heard in, for the log.
+
+        Returns:
+            False if this was known.
+        """
+        engine = self.directory.engines.get(incarnation[0])
+        if engine is not None and engine.entry.incarnation == incarnation:
+            known = engine.leaving
+            engine.leaving = True
+        else:
+            known = incarnation in self.left_incarnations
+        self.left_incarnations.add(incarnation)
+        if known:
+            return False
+        self.report(
+            "endpoint_leaving", {"engine": incarnation[0], "source": source}
+        )
+        return True
 
     def withdraw(self, engine_id: str) -> None:
         """Handles the removal of an entry from the list."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -46,6 +46,10 @@
 STORE_LOAD_COST = 0.5
 EVICTION_COST = 0.1
 
+# Score of an adapter that is worth a load ahead of its next request: it was
+# requested about twice within the half-life of the scores.
+POPULAR_SCORE = 1.5
+
 # Nodes poll several times a second; one that has missed more changes than this
 # reads all slots instead.
 MAX_CHANGES = 2_000
@@ -222,6 +226,28 @@
             if engine_id not in avoid
         )
 
+    def sole_popular_adapters(
+        self, engine_id: str, now: float
+    ) -> list[models.AdapterKey]:
+        """Returns what would be missed without an engine, most popular first.
+
+        These are the adapters of its slots that no other engine holds and that
+        are requested often.
+        """
+        engine = self.engines.get(engine_id)
+        if engine is None:
+            return []
+        scores = {
+            key: self.popularity.score(key, now)
+            for key, slot in engine.adapter_slots.items()
+            if slot.state not in adapter_slots_lib.UNSETTLED
+            and not self.is_held(
+                key, self.newest.get(key, 0), avoid=(engine_id,)
+            )
+        }
+        popular = [k for k, score in scores.items() if score >= POPULAR_SCORE]
+        return sorted(popular, key=lambda key: -scores[key])
+
     def has_slots_for(
         self, engine_id: str, found: Iterable[models.AdapterKey]
     ) -> bool:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from _dogwoodhinge.fleet import models
+from _dogwoodhinge.gateway import pause_queue
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.http1 import connection as connection_lib
@@ -24,6 +25,8 @@
         tried_engines: engines that the request was sent to, in order.
         unreachable_engines: engines that could not be connected to.
         steps: attempts and failures, for the log line.
+        retry_due: whether the next send is a retry that has not been taken
+            from the budget yet.
         may_have_run: whether it was sent and no engine confirmed that it did
             not run.
         sent_at: loop time of the last send to an engine.
@@ -60,6 +63,7 @@
         self.tried_engines: list[str] = []
         self.unreachable_engines: set[str] = set()
         self.steps: list[str] = []
+        self.retry_due = False
         self.may_have_run = False
         self.sent_at: float | None = None
         self.first_byte_at: float | None = None
@@ -124,11 +128,31 @@
             return True
         return False
 
-    def mark_unreachable(self, engine_id: str) -> None:
-        """Records that nothing could be sent to an engine that was tried."""
+    @property
+    def pause_wait_until(self) -> float:
+        """Loop time until which it may wait for engines that want a pause."""
+        time = self.deadline - self.received_at
+        return self.received_at + time * pause_queue.MAX_WAIT_FRACTION
+
+    def forget_try(self, engine_id: str) -> None:
+        """Records that an engine did not run it and may be selected again."""
         latest_first = self.tried_engines[::-1]
         latest_first.remove(engine_id)
         self.tried_engines = latest_first[::-1]
+
+    def put_off(self, engine_id: str, *, sent: bool) -> None:
+        """Records that an engine wants no requests for a while.
+
+        Args:
+            engine_id: the engine, which did not run the request.
+            sent: whether the request was sent to it.
+        """
+        self.forget_try(engine_id)
+        self.retry_due = self.retry_due or sent
+
+    def mark_unreachable(self, engine_id: str) -> None:
+        """Records that nothing could be sent to an engine that was tried."""
+        self.forget_try(engine_id)
         self.unreachable_engines.add(engine_id)
 
     def record_response_end(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
@@ -4,6 +4,8 @@
 from collections.abc import Collection
 import dataclasses
 import datetime
+import functools
+import math
 import random
 from typing import final
 
@@ -16,6 +18,7 @@
 from _dogwoodhinge.fleet import placement_queue
 from _dogwoodhinge.fleet import versions as versions_lib
 from _dogwoodhinge.gateway import errors
+from _dogwoodhinge.gateway import pause_queue as pause_queue_lib
 
 # Fraction of the request timeout that may be spent waiting for an adapter slot.
 # Slots become free within tenths of a second, so most waiting requests are
@@ -68,12 +71,14 @@
         directory: engines_lib.Directory,
         versions: versions_lib.Versions,
         leader_client: leader_client_lib.LeaderClient,
+        pause_queue: pause_queue_lib.PauseQueue,
         zone: str,
         rng: random.Random,
     ) -> None:
         self.directory = directory
         self.versions = versions
         self.leader_client = leader_client
+        self.pause_queue = pause_queue
         self.zone = zone
         self.rng = rng
 
@@ -87,6 +92,7 @@
         prompt_tokens: int,
         target_at: float,
         wait_until: float,
+        pause_wait_until: float,
     ) -> EngineSelection:
         """Selects an engine and waits until the adapter is ready on it.
 
@@ -99,13 +105,24 @@
             prompt_tokens: number of tokens in the prompt.
             target_at: loop time by which the first event is due.
             wait_until: loop time until which to wait for an adapter slot.
+            pause_wait_until: loop time until which to wait while all engines
+                want a pause.
 
         Raises:
             RequestRejectedError: no engine is available in time.
         """
         loop = asyncio.get_running_loop()
         while True:
+            if self._must_wait_for_pauses(service, avoid):
+                await self.pause_queue.wait(
+                    service,
+                    opens_at=functools.partial(
+                        self.directory.opens_at, service, avoid=avoid
+                    ),
+                    wait_until=pause_wait_until,
+                )
             asked_at = loop.time()
+            wait_until = max(wait_until, asked_at)
             placement_request = adapter_slots_lib.PlacementRequest(
                 key=key,
                 version=self.versions.newest(key) or 0,
@@ -137,6 +154,14 @@
                 raise result
             await asyncio.sleep(max(0.0, delay))
 
+    def _must_wait_for_pauses(
+        self, service: str, avoid: Collection[str]
+    ) -> bool:
+        """Returns whether there are engines, and all want a pause."""
+        now = asyncio.get_running_loop().time()
+        opens_at = self.directory.opens_at(service, now, avoid=avoid)
+        return now < opens_at < math.inf
+
     async def _find_once(
         self,
         service: str,
@@ -146,12 +171,14 @@
         key = placement_request.key
         engines = [
             e
-            for e in self.directory.serving(service)
+            for e in self.directory.open(service, now)
             if e.engine_id not in placement_request.avoid
         ]
         if not engines:
             return errors.RequestRejectedError(
-                "no_engine", retry_after=NO_ENGINE_RETRY_DELAY
+                "no_engine",
+                retry_after=NO_ENGINE_RETRY_DELAY,
+                final=self.directory.all_leaving(service),
             )
         if not key.adapter:
             return self._select_by_model(engines, key.model, now)
@@ -221,6 +248,7 @@
             for engine, held_adapter in self.directory.holders(service, key)
             if held_adapter.version >= version
             and engine.engine_id not in avoid
+            and engine.opens_at(now) <= now
             and (include_unhealthy or not engine.health.should_avoid(now))
         ]
 
@@ -289,15 +317,15 @@
     ) -> EngineSelection:
         loop = asyncio.get_running_loop()
         now = loop.time()
-        unhealthy = {
+        unusable = {
             e.engine_id
-            for e in self.directory.serving(service)
-            if e.health.should_avoid(now)
+            for e in self.directory.of_service(service)
+            if e.leaving or e.opens_at(now) > now or e.health.should_avoid(now)
         }
         try:
             assignment = await self.leader_client.place(
                 dataclasses.replace(
-                    placement_request, avoid=placement_request.avoid | unhealthy
+                    placement_request, avoid=placement_request.avoid | unusable
                 )
             )
         except placement_queue.NoFreeSlotError as error:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
@@ -17,6 +17,8 @@
         misdirected: the address belongs to another engine, or the adapter is
             not loaded there.
         unreachable: no connection could be opened or used.
+        paused: the engine wants no requests for a while.
+        sent: whether the request was sent to the engine.
     """
 
     def __init__(
@@ -25,10 +27,14 @@
         *,
         misdirected: bool = False,
         unreachable: bool = False,
+        paused: bool = False,
+        sent: bool = True,
     ) -> None:
         super().__init__(message)
         self.misdirected = misdirected
         self.unreachable = unreachable
+        self.paused = paused
+        self.sent = sent
 
 
 class OutcomeUnknownError(GatewayError):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -12,6 +12,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Coroutine
 import dataclasses
+import functools
+import math
 import random
 from typing import Any, final
 
@@ -21,6 +23,7 @@
 from _dogwoodhinge.gateway import call as call_lib
 from _dogwoodhinge.gateway import engine_finder
 from _dogwoodhinge.gateway import errors
+from _dogwoodhinge.gateway import pause_queue as pause_queue_lib
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import sender as sender_lib
@@ -99,12 +102,14 @@
         sender: sender_lib.Sender,
         directory: engines_lib.Directory,
         budget: retry_budget_lib.RetryBudget,
+        pause_queue: pause_queue_lib.PauseQueue,
         zone: str,
         rng: random.Random,
     ) -> None:
         self.sender = sender
         self.directory = directory
         self.budget = budget
+        self.pause_queue = pause_queue
         self.zone = zone
         self.rng = rng
 
@@ -145,7 +150,11 @@
         failure: FetchedResponse | None = None
         error: errors.GatewayError | None = None
         while True:
-            engine = self._choose(call) if may_send else None
+            engine = None
+            if may_send:
+                engine = await self._next_endpoint(
+                    call, may_wait=not attempts and failure is None
+                )
             if engine is not None:
                 call.tried_engines.append(engine.engine_id)
                 attempts.append(Attempt(engine, self._fetch_from(call, engine)))
@@ -185,6 +194,44 @@
                 call, attempts
             )
 
+    def _must_wait_for_pauses(self, call: call_lib.Call) -> bool:
+        """Returns whether there are endpoints, and all want a pause."""
+        now = asyncio.get_running_loop().time()
+        opens_at = self.directory.opens_at(
+            call.service, now, avoid=call.excluded_engines
+        )
+        return now < opens_at < math.inf
+
+    async def _next_endpoint(
+        self, call: call_lib.Call, *, may_wait: bool
+    ) -> engines_lib.Engine | None:
+        """Returns the endpoint that gets the request next, if there is one.
+
+        Args:
+            call: the request.
+            may_wait: whether to wait while all endpoints want a pause.
+
+        Raises:
+            RequestRejectedError: their pauses are too long for the request.
+        """
+        if may_wait and self._must_wait_for_pauses(call):
+            await self.pause_queue.wait(
+                call.service,
+                opens_at=functools.partial(
+                    self.directory.opens_at,
+                    call.service,
+                    avoid=call.excluded_engines,
+                ),
+                wait_until=call.pause_wait_until,
+            )
+        if call.retry_due:
+            if self._choose(call) is None:
+                return None
+            if not await call.acquire_retry(self.budget, same_engine=True):
+                return None
+            call.retry_due = False
+        return self._choose(call)
+
     async def _next_ended(
         self, call: call_lib.Call, attempts: list[Attempt]
     ) -> Attempt | None:
@@ -239,6 +286,9 @@
             if error.unreachable:
                 call.mark_unreachable(engine.engine_id)
                 return not attempts
+            if error.paused:
+                call.put_off(engine.engine_id, sent=error.sent)
+                return not attempts
             return await self._may_retry(call, attempts)
         call.may_have_run = True
         if isinstance(error, errors.OutcomeUnknownError):
@@ -268,7 +318,7 @@
 
     def _choose(self, call: call_lib.Call) -> engines_lib.Engine | None:
         now = asyncio.get_running_loop().time()
-        serving = self.directory.serving(call.service)
+        serving = self.directory.open(call.service, now)
         untried = [
             e for e in serving if e.engine_id not in call.excluded_engines
         ]
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import final
 
+from _dogwoodhinge.fleet import announcements
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.http1 import server
 
@@ -68,6 +69,8 @@
         misdirected: whether the request was not run because another engine
             has the address, or the adapter (or its version) is not loaded.
         signed: whether the response carries the engine's signature.
+        responder: id of the engine that responded; None if it does not say.
+        announcement: what the engine announces about itself.
         headers: headers for the caller, without hop-by-hop headers.
         keep_alive_seconds: how long the engine keeps idle connections open.
         closing: whether the engine closes the connection after this response.
@@ -79,6 +82,8 @@
     not_run: bool
     misdirected: bool
     signed: bool
+    responder: str | None
+    announcement: announcements.Announcement
     headers: tuple[server.Header, ...]
     keep_alive_seconds: int | None
     closing: bool
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import AsyncGenerator, Awaitable, Callable
 import contextlib
+import dataclasses
 import datetime
 import enum
 import functools
@@ -11,6 +12,7 @@
 
 import h11
 
+from _dogwoodhinge.fleet import announcements as announcements_lib
 from _dogwoodhinge.fleet import engine_selection
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
@@ -116,17 +118,63 @@
         engine.health.record_failure(health_lib.Failure.BROKEN_RESPONSE, now)
 
 
-def _check_takes_work(engine: engines_lib.Engine) -> None:
-    """Rejects an engine that has left since it was selected.
+def _check_takes_work(engine: engines_lib.Engine, now: float) -> None:
+    """Rejects an engine that has left or paused since it was selected.
 
     Raises:
-        NotRunError: the engine accepts no more requests.
+        NotRunError: the engine accepts no more requests, or none for now.
     """
     if not engine.accepts_requests:
         raise errors.NotRunError(
             f"{engine.engine_id} left before the request was sent",
             unreachable=True,
+            sent=False,
         )
+    others = max(0, engine.running - 1)
+    if engine.pause.opens_at(others, now) > now:
+        raise errors.NotRunError(
+            f"{engine.engine_id} wants no requests now", paused=True, sent=False
+        )
+
+
+def _answers_request(
+    head: requests.ResponseHead,
+    request: requests.Request,
+    connection: connection_lib.Connection,
+    *,
+    repeatable: bool,
+) -> bool | None:
+    """Returns whether a response belongs to the request sent last.
+
+    Faulty engines send a response once more, late, on a connection that is in
+    use again.
+
+    Returns:
+        None if that is unknown: a rejection without an id, on a connection
+        that has carried an earlier request. It counts as the response if the
+        request may run more than once.
+    """
+    if head.request_id is not None:
+        return head.request_id == request.request_id
+    if not (head.not_run or head.misdirected):
+        return False
+    return True if repeatable or connection.message_number == 1 else None
+
+
+def _is_from(
+    engine: engines_lib.Engine,
+    request: requests.Request,
+    head: requests.ResponseHead,
+) -> bool:
+    """Returns whether a response comes from the engine it was sent to.
+
+    A misdirected request has reached another engine at the same address,
+    unless the right engine lacks the adapter.
+    """
+    if head.responder is not None:
+        return head.responder == engine.engine_id
+    needs_adapter = request.adapter is not None and request.adapter.adapter
+    return not head.misdirected or bool(needs_adapter)
 
 
 async def _read_within(
@@ -344,12 +392,14 @@
         *,
         codec: codec_lib.Codec,
         connections_per_node: Callable[[str], int],
+        announcements: announcements_lib.Announcements,
     ) -> None:
         self.response_ends: collections.Counter[
             tuple[BodyFraming, ResponseEnd]
         ] = collections.Counter()
         self.codec = codec
         self.connections_per_node = connections_per_node
+        self.announcements = announcements
         self.connections_by_engine: dict[
             tuple[str, int], EngineConnections
         ] = {}
@@ -379,8 +429,9 @@
             NotRunError: the engine did not run the request.
             OutcomeUnknownError: the request may have run.
         """
-        now = asyncio.get_running_loop().time()
-        _check_takes_work(engine)
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        _check_takes_work(engine, now)
         engine_connections = self._engine_connections(engine, now)
         try:
             connection = await engine_connections.pool.acquire(
@@ -394,7 +445,7 @@
             )
             raise errors.NotRunError(str(error), unreachable=True) from error
         try:
-            _check_takes_work(engine)
+            _check_takes_work(engine, loop.time())
             return await self._exchange(
                 engine,
                 engine_connections,
@@ -402,6 +453,7 @@
                 request,
                 parameters,
                 prepare_switch,
+                repeatable=repeatable,
             )
         except BaseException:
             if connection in engine_connections.pool.in_use:
@@ -461,6 +513,8 @@
         request: requests.Request,
         parameters: requests.DispatchParameters,
         prepare_switch: PrepareSwitch | None,
+        *,
+        repeatable: bool,
     ) -> OpenResponse:
         head = h11.Request(
             method=request.raw.method,
@@ -491,14 +545,26 @@
                 connection=connection,
                 ends=self.response_ends,
             )
-            if decoded.not_run or decoded.misdirected:
+            answers = _answers_request(
+                decoded, request, connection, repeatable=repeatable
+            )
+            self._apply_announcement(engine, request, decoded, answers)
+            if answers is None:
+                raise errors.OutcomeUnknownError(
+                    f"{engine.engine_id} answered {decoded.status} without a "
+                    "request id on a used connection"
+                )
+            if answers and (decoded.not_run or decoded.misdirected):
                 await self._drain_rejection(response)
                 end = "" if response.complete else " with an incomplete body"
                 raise errors.NotRunError(
                     f"{engine.engine_id} answered {decoded.status}{end}",
                     misdirected=decoded.misdirected,
+                    paused=engine.pause.is_active(
+                        asyncio.get_running_loop().time()
+                    ),
                 )
-            if decoded.request_id == request.request_id:
+            if answers:
                 return response
             await self._drain_response(response, prepare_switch)
             if not connection.expect_next_response(head):
@@ -507,6 +573,28 @@
             "the engine responded to another request"
         )
 
+    def _apply_announcement(
+        self,
+        engine: engines_lib.Engine,
+        request: requests.Request,
+        head: requests.ResponseHead,
+        answers: bool | None,
+    ) -> None:
+        if not _is_from(engine, request, head):
+            return
+        announcement = head.announcement
+        if not answers:
+            # A late copy of a rejection says nothing about the load now, but
+            # an engine that was leaving then still is.
+            announcement = dataclasses.replace(
+                announcement, pause=datetime.timedelta(0)
+            )
+        self.announcements.apply(
+            engine.entry,
+            announcement,
+            source=announcements_lib.Source.RESPONSE,
+        )
+
     async def _read_head(
         self,
         engine: engines_lib.Engine,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -101,6 +101,8 @@
         while True:
             if selection is None:
                 selection = await self._find_or_return(call, relay, absent_from)
+            if call.retry_due:
+                await self._acquire_due_retry(call)
             absent_from = ""
             try:
                 await self._forward_to(call, relay, selection)
@@ -109,6 +111,9 @@
                 call.add_step(f"not_run {selection.engine.engine_id}: {error}")
                 engine = selection.engine
                 selection = None
+                if error.paused:
+                    call.put_off(engine.engine_id, sent=error.sent)
+                    continue
                 if error.unreachable:
                     call.mark_unreachable(engine.engine_id)
                     continue
@@ -140,6 +145,19 @@
                     if selection is None:
                         raise
 
+    async def _acquire_due_retry(self, call: call_lib.Call) -> None:
+        """Takes the retry of a request that an engine has put off.
+
+        Raises:
+            RequestRejectedError: no retry is left.
+        """
+        if not await call.acquire_retry(self.budget, same_engine=True):
+            raise errors.RequestRejectedError(
+                "engine_refused",
+                retry_after=engine_finder_lib.NO_ENGINE_RETRY_DELAY,
+            )
+        call.retry_due = False
+
     async def _find(
         self, call: call_lib.Call, relay: "Relay", absent_from: str
     ) -> engine_finder_lib.EngineSelection:
@@ -163,6 +181,9 @@
             prompt_tokens=call.request.prompt_tokens,
             target_at=target_at,
             wait_until=wait_until,
+            pause_wait_until=wait_until
+            if relay.reply.begun
+            else call.pause_wait_until,
         )
 
     async def _find_or_return(
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -11,11 +11,13 @@
 import pytest
 
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
+from _dogwoodhinge.fleet import announcements
 from _dogwoodhinge.fleet import engines
 from _dogwoodhinge.fleet import fleet_pb2
 from _dogwoodhinge.fleet import fleet_server
 from _dogwoodhinge.fleet import leader as leader_lib
 from _dogwoodhinge.fleet import leader_client
+from _dogwoodhinge.fleet import listing
 from _dogwoodhinge.fleet import load_times
 from _dogwoodhinge.fleet import loader
 from _dogwoodhinge.fleet import membership
@@ -142,7 +144,15 @@
         report=report,
     )
     known = table_updates.TableUpdates(is_leader=lambda: lease.is_held_here)
-    local = fleet_server.FleetServer(leader, table, known)
+    local = fleet_server.FleetServer(
+        leader,
+        table,
+        known,
+        announcements.Announcements(
+            listing=listing.EndpointListing(directory=directory, report=report),
+            report=report,
+        ),
+    )
     client = leader_client.LeaderClient(
         node=f"{name}@127.0.0.1",
         own_address=address,
