--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -513,3 +513,81 @@
     requests["app"] = 2
     counter.restore(request)
     assert (begun, requests) == ({KEY: 4}, {"app": 7})
+
+
+async def test_leader_and_other_nodes_hear_of_a_leaving_engine(
+    node: Node, other: Node
+) -> None:
+    """Regression: each node sent one request to find it out by itself."""
+    await wait_for_engine_state(node)
+    other.directory.engines["e1"].leaving = True  # heard in a response
+    await until(lambda: node.directory.engines["e1"].leaving)
+    reply = node.leader_client.local.sync(fleet_pb2.SyncRequest(node="n3"))
+    assert [(e.engine_id, e.born_ms) for e in reply.leaving] == [("e1", 1)]
+    with pytest.raises(placement_queue.NoFreeSlotError):
+        await node.leader.place(
+            adapter_slots_lib.PlacementRequest(key=KEY, version=0)
+        )
+
+
+async def test_old_hint_does_not_concern_the_next_start_of_an_engine(
+    node: Node,
+) -> None:
+    node.leader_client.local.record_leaving(
+        [fleet_pb2.LeavingEngine(engine_id="e1", born_ms=0)]
+    )
+    assert not node.directory.engines["e1"].leaving
+
+
+async def test_popular_adapter_of_a_leaving_engine_is_loaded_elsewhere(
+    node: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: the next request for it waited for the load.
+
+    Load pattern: an engine with popular adapters leaves under load.
+    """
+    await wait_for_engine_state(node)
+    await node.leader_client.place(
+        adapter_slots_lib.PlacementRequest(key=KEY, version=0)
+    )
+    now = asyncio.get_running_loop().time()
+    node.leader.placement.popularity.record_uses(KEY, 8.0, now)
+    node.directory.update(dataclasses.replace(entry(), engine_id="e2"), now=0.0)
+    await until(
+        lambda: (
+            len(node.leader.loader.order_states) == 2
+            and not any(
+                state.needs_refresh
+                for state in node.leader.loader.order_states.values()
+            )
+        )
+    )
+    ordered: list[tuple[str, models.AdapterKey]] = []
+
+    async def load(
+        assignment: adapter_slots_lib.Assignment, key: models.AdapterKey
+    ) -> None:
+        ordered.append((assignment.engine_id, key))
+
+    monkeypatch.setattr(node.leader.loader, "load", load)
+    node.leader.placement.drop_engine("e2", now)
+    node.leader.placement.set_engine(
+        "e2", capacity=1, residents={}, pending={}, in_memory=(), now=now
+    )
+    node.directory.engines["e1"].leaving = True
+    await until(lambda: ordered)
+    assert ordered == [("e2", KEY)]
+
+
+async def test_leader_orders_nothing_from_an_engine_that_wants_a_pause(
+    node: Node, orders: fleet_fakes.FakeOrders
+) -> None:
+    await wait_for_engine_state(node)
+    now = asyncio.get_running_loop().time()
+    pause = datetime.timedelta(seconds=30)
+    node.directory.engines["e1"].pause.extend(pause, now)
+    with pytest.raises(placement_queue.NoFreeSlotError):
+        await node.leader.place(
+            adapter_slots_lib.PlacementRequest(key=KEY, version=0)
+        )
+    assert orders.sent == []
