--- a/packages/dogwoodhinge/testing/fleet/test_pause.py
+++ b/packages/dogwoodhinge/testing/fleet/test_pause.py
@@ -22,7 +22,7 @@
 
 
 @pytest.mark.parametrize(
-    "seconds, until",
+    ("seconds", "until"),
     [((2.5,), 102.5), ((3.0, 1.0), 103.0), ((1.0, 3.0), 103.0)],
     ids=["one", "shorter later", "longer later"],
 )
@@ -36,7 +36,7 @@
 
 
 @pytest.mark.parametrize(
-    "running, opens_at",
+    ("running", "opens_at"),
     [(0, 101.0), (1, 101.1), (2, 101.2), (3, 101.2), (4, 101.3), (64, 101.7)],
 )
 def test_requests_at_once_double_after_the_end(
@@ -51,7 +51,7 @@
 
 
 @pytest.mark.parametrize(
-    "opens_in, ahead, time_left, expected",
+    ("opens_in", "ahead", "time_left", "expected"),
     [
         (0.5, 0, 1.0, True),
         (1.5, 0, 1.0, False),
