Own engines' Retry-After keeps new requests away for that time

An engine of the product's own path that refused with 503 and Retry-After got the next request as soon as one was granted. The refusal now carries the pause, and the directory hides the engine until its latest end; an answer to an earlier request does not end it. Values that are not seconds are ignored and logged, a pause is cut at a minute. The three tests fail without the change: the error has no pause, and the directory no such report.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/dispatch_fakes.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/dispatch_fakes.py
@@ -49,6 +49,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     UNAVAILABLE = "unavailable"
     LEAVING = "leaving"
+    PAUSED = "paused"
     NOT_LOADED = "not_loaded"
     STALE_FENCE = "stale_fence"
     REFUSED = "refused"
@@ -218,6 +219,10 @@
             raise errors.EngineRefusedError("busy", status=503)
         case StreamFault.REFUSED:
             raise errors.EngineRefusedError("gone", status=410)
+        case StreamFault.PAUSED:
+            raise errors.EngineRefusedError(
+                "busy", status=503, pause=datetime.timedelta(seconds=2)
+            )
         case StreamFault.LEAVING:
             raise errors.EngineLeavingError("leaving", status=503)
         case StreamFault.NOT_LOADED:
@@ -294,6 +299,7 @@
         }
         self.service_endpoints: list[models.Endpoint] = []
         self.unusable: set[str] = set()
+        self.pauses: list[tuple[str, datetime.timedelta]] = []
         self.invalidated: list[str] = []
         self.admits: list[peer_pb2.AdmitRequest] = []
         self.releases: list[peer_pb2.ReleaseRequest] = []
@@ -387,6 +393,13 @@
         """Takes an endpoint out for good."""
         self.unusable.add(endpoint_id)
 
+    def report_paused(
+        self, endpoint_id: str, duration: datetime.timedelta
+    ) -> None:
+        """Records the pause of an endpoint and takes it out."""
+        self.pauses.append((endpoint_id, duration))
+        self.unusable.add(endpoint_id)
+
     def report_reachable(self, endpoint_id: str) -> None:
         """Takes an endpoint back in."""
         self.unusable.discard(endpoint_id)
--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/standins/engine.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/standins/engine.py
@@ -33,6 +33,8 @@
         crash_marker: a request whose body contains it crashes the engine;
             empty for none.
         leaving: new requests are refused, those that run go on.
+        pause_value: Retry-After with which new requests are refused; empty
+            for none.
         restart: once, come back empty with a new epoch.
         slow_factor: makes each step so many times longer.
         fail_loads: next loads that fail after their time.
@@ -47,6 +49,7 @@
 
     crash_marker: str = ""
     leaving: bool = False
+    pause_value: str = ""
     restart: bool = False
     slow_factor: float = 1.0
     fail_loads: int = 0
@@ -268,6 +271,11 @@
         if self.faults.leaving:
             self.record("refused leaving", request_id=request_id)
             raise _problem(web.HTTPServiceUnavailable, "leaving", request_id)
+        if self.faults.pause_value:
+            self.record("refused pause", request_id=request_id)
+            refusal = _problem(web.HTTPServiceUnavailable, "busy", request_id)
+            refusal.headers["Retry-After"] = self.faults.pause_value
+            raise refusal
         if model not in self.residents:
             raise _problem(web.HTTPNotFound, "adapter_not_loaded", model)
         priority = int(request.headers.get("X-Priority", "0"))
--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/collaborators.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/collaborators.py
@@ -128,6 +128,11 @@
     def report_leaving(self, endpoint_id: str) -> None:
         """Records that an endpoint reported that it accepts no new requests."""
 
+    def report_paused(
+        self, endpoint_id: str, duration: datetime.timedelta
+    ) -> None:
+        """Records that an endpoint wants no requests for some time."""
+
     def report_reachable(self, endpoint_id: str) -> None:
         """Records that an endpoint answered."""
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/engine_run.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/engine_run.py
@@ -62,6 +62,7 @@
         completed: whether the engine is known to have ended the run.
         engine_failed: whether the engine was unreachable or broke the stream.
         leaving: whether the engine reported that it accepts no new requests.
+        pause: time for which the engine wants no requests; 0 for none.
         crash_reported: whether the engine's crash was reported to the
             quarantine.
     """
@@ -87,6 +88,7 @@
         self.completed = False
         self.engine_failed = False
         self.leaving = False
+        self.pause = datetime.timedelta(0)
         self.crash_reported = False
         self.began_at = clock.monotonic()
         self.first_token_at: float | None = None
@@ -177,6 +179,8 @@
         first = self.connections == 1
         self.engine_failed = not (first and refused)
         self.leaving = isinstance(error, public_errors.EngineLeavingError)
+        if isinstance(error, public_errors.EngineRefusedError):
+            self.pause = error.pause
         if first and (refused or unreachable):
             self.started = False
             return errors.NotRunError(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/generations.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/generations.py
@@ -203,6 +203,8 @@
             progress.may_have_run = True
         elif run.leaving:
             self.directory.report_leaving(run.grant.engine_id)
+        elif run.pause:
+            self.directory.report_paused(run.grant.engine_id, run.pause)
         elif run.engine_failed:
             self.directory.report_unreachable(run.grant.engine_id)
         if self._may_retry(request, run, progress.attempt, error):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/membership/directory.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/membership/directory.py
@@ -38,6 +38,7 @@
         failures: consecutive calls that could not reach the endpoint.
         hidden_until: the endpoint is unreachable; it receives no work before
             this time, monotonic.
+        paused_until: the endpoint wants no requests until then.
         leaving_until: the endpoint reported that it is leaving; ignored after
             this time, as the list should be up to date by then, monotonic.
     """
@@ -45,6 +46,7 @@
     failures: int = 0
     hidden_until: float = 0.0
     leaving_until: float = 0.0
+    paused_until: float = 0.0
 
 
 @final
@@ -141,9 +143,8 @@
         if endpoint is None or not self._is_live(endpoint):
             return False
         observation = self.observations.get(endpoint_id)
-        return (
-            observation is None
-            or self.clock.monotonic() >= observation.hidden_until
+        return observation is None or self.clock.monotonic() >= max(
+            observation.hidden_until, observation.paused_until
         )
 
     def is_host_listed(self, host_id: str) -> bool:
@@ -190,6 +191,22 @@
         if was_live:
             self._notify()
 
+    def report_paused(
+        self, endpoint_id: str, duration: datetime.timedelta
+    ) -> None:
+        """Hides an endpoint that wants no requests for some time.
+
+        The latest end of several pauses holds.
+        """
+        now = self.clock.monotonic()
+        observation = self._observe(endpoint_id)
+        was_open = now >= observation.paused_until
+        observation.paused_until = max(
+            observation.paused_until, now + duration.total_seconds()
+        )
+        if was_open:
+            self._notify()
+
     def report_reachable(self, endpoint_id: str) -> None:
         """Resets the backoff of an endpoint that answered."""
         observation = self.observations.get(endpoint_id)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/openai_engine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/openai_engine.py
@@ -8,9 +8,12 @@
 from collections.abc import AsyncIterator, Mapping
 import datetime
 import json
+import re
 from typing import Any, final
 import urllib.parse
 
+from absl import logging
+
 from _dogwoodhinge.platform import errors as platform_errors
 from _dogwoodhinge.platform import http_client
 from _dogwoodhinge.platform import token_stream
@@ -35,6 +38,13 @@
 LEAVING_CODE = "leaving"
 NOT_LOADED_CODE = "adapter_not_loaded"
 
+# Seconds, also fractions; dates and signs are not understood.
+RETRY_AFTER_SECONDS = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?")
+
+# A longer pause is cut to this: a mistaken value must not stop an engine for
+# good.
+MAX_PAUSE = datetime.timedelta(seconds=60)
+
 
 @hookimpl.hookimpl
 def open_engine(
@@ -112,7 +122,10 @@
                 if stream_response.status != STATUS_OK:
                     body = await self.client.read(stream_response)
                     raise _error_for_status(
-                        stream_response.status, body, "the request"
+                        stream_response.status,
+                        body,
+                        "the request",
+                        stream_response.headers,
                     )
                 reader.accepted = True
                 async for chunk in reader.read(stream_response.content):
@@ -191,11 +204,13 @@
 
 def _require_ok(response: http_client.Response, action: str) -> None:
     if response.status != STATUS_OK:
-        raise _error_for_status(response.status, response.body, action)
+        raise _error_for_status(
+            response.status, response.body, action, response.headers
+        )
 
 
 def _error_for_status(
-    status: int, body: bytes, action: str
+    status: int, body: bytes, action: str, headers: Mapping[str, str]
 ) -> errors.EngineError:
     """Returns the error for a response with a status other than 200.
 
@@ -214,7 +229,20 @@
         return errors.AdapterNotLoadedError(text, status=status)
     if status >= STATUS_SERVER_ERROR and status != STATUS_UNAVAILABLE:
         return errors.EngineOutcomeUnknownError(text)
-    return errors.EngineRefusedError(text, status=status)
+    pause = datetime.timedelta(0)
+    if status == STATUS_UNAVAILABLE:
+        pause = _parse_pause(headers.get("Retry-After", ""))
+    return errors.EngineRefusedError(text, status=status, pause=pause)
+
+
+def _parse_pause(value: str) -> datetime.timedelta:
+    """Parses the seconds of a Retry-After header; 0 for any other value."""
+    if not RETRY_AFTER_SECONDS.fullmatch(value):
+        if value:
+            logging.warning("Retry-After of an engine is ignored: %.80r", value)
+        return datetime.timedelta(0)
+    seconds = min(float(value), MAX_PAUSE.total_seconds())
+    return datetime.timedelta(seconds=seconds)
 
 
 def _parse_problem(body: bytes) -> tuple[str, str]:
--- a/packages/dogwoodhinge/src/dogwoodhinge/errors.py
+++ b/packages/dogwoodhinge/src/dogwoodhinge/errors.py
@@ -4,6 +4,8 @@
 layer above the ports translates them into its own.
 """
 
+import datetime
+
 
 class DogwoodhingeError(Exception):
     """Base class of all exceptions of the project."""
@@ -73,11 +75,19 @@
 
     Attributes:
         status: HTTP status code of the response.
+        pause: time for which the engine wants no requests from this node.
     """
 
-    def __init__(self, message: str, *, status: int) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        pause: datetime.timedelta = datetime.timedelta(0),
+    ) -> None:
         super().__init__(message)
         self.status = status
+        self.pause = pause
 
 
 class StaleFenceError(EngineRefusedError):
--- a/packages/dogwoodhinge/testing/dispatch/test_generations.py
+++ b/packages/dogwoodhinge/testing/dispatch/test_generations.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 import contextlib
+import datetime
 import json
 
 import pytest
@@ -110,6 +111,19 @@
     assert not cluster.is_usable("engine-1")
 
 
+async def test_engine_that_wants_a_pause_is_reported_with_its_length(
+    generations: generations_lib.Generations,
+    cluster: dispatch_fakes.FakeCluster,
+    make_request: MakeRequest,
+) -> None:
+    """Regression: the next requests were sent to it in its pause."""
+    cluster.engines["engine-1"].plan(Fault.PAUSED)
+    await read(generations, make_request(), [])
+    await generations.settle()
+    pause = datetime.timedelta(seconds=2)
+    assert cluster.pauses == [("engine-1", pause)]
+
+
 @pytest.mark.parametrize(
     "fault",
     [
--- a/packages/dogwoodhinge/testing/membership/test_directory.py
+++ b/packages/dogwoodhinge/testing/membership/test_directory.py
@@ -61,6 +61,20 @@
     assert directory.is_usable("engine-0")
 
 
+async def test_latest_end_of_several_pauses_holds(
+    cluster: small_cluster.SmallCluster,
+    directory: directory_module.EndpointDirectory,
+) -> None:
+    """An answer to an earlier request does not end a pause."""
+    directory.report_paused("engine-0", datetime.timedelta(seconds=3))
+    directory.report_paused("engine-0", datetime.timedelta(seconds=1))
+    directory.report_reachable("engine-0")
+    await cluster.clock.advance(datetime.timedelta(seconds=2.9))
+    assert not directory.is_usable("engine-0")
+    await cluster.clock.advance(datetime.timedelta(seconds=0.2))
+    assert directory.is_usable("engine-0")
+
+
 async def test_backs_off_from_an_unreachable_endpoint(
     cluster: small_cluster.SmallCluster,
     directory: directory_module.EndpointDirectory,
--- a/packages/dogwoodhinge/testing/platform/test_engine_contract.py
+++ b/packages/dogwoodhinge/testing/platform/test_engine_contract.py
@@ -137,6 +137,31 @@
     assert not engine_standin.batch.known
 
 
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        ("2.5", 2.5),
+        ("3600", 60.0),
+        ("-1", 0.0),
+        ("nan", 0.0),
+        ("inf", 0.0),
+        ("soon", 0.0),
+        ("9" * 40, 0.0),
+    ],
+)
+async def test_rejection_says_how_long_the_engine_wants_no_requests(
+    engine: ports.Engine,
+    engine_standin: engine_standins.EngineStandin,
+    value: str,
+    seconds: float,
+) -> None:
+    engine_standin.set_faults({"pause_value": value})
+    with pytest.raises(errors.EngineRefusedError) as refused:
+        await collect(engine, request())
+    assert refused.value.pause == datetime.timedelta(seconds=seconds)
+    assert not engine_standin.batch.known
+
+
 async def test_full_engine_refuses_load(
     engine: ports.Engine, weights_standin: weights_standins.WeightsStandin
 ) -> None:
