The age at which nodes read the store follows from the deployment's bounds

Cause: membership stretches the sync interval with the nodes (1.2 s at 195), and table_updates held information older than 1.4 s for outdated. Between two syncs it gets 1.2 s older, and it is up to 1.1 s old when sent, so all nodes followed both tables themselves. The 1.4 s were 2 s, the bound of the small deployments, less a margin; the large one wants changes known within 4 s, the grown ones 3 s.

The leader's load stays as it is. Ruled out: syncing faster, which moves the load back to the leader.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -6,19 +6,21 @@
 frequently and sends each node, with every sync, the relevant rows that the node
 lacks. A node reads the store itself when the leader can't send these rows, from
 time to time in any case, and frequently again once the leader's information is
-older than `MAX_AGE`.
+older than `max_age`. That age follows from the time within which the deployment
+wants changes known: with hundreds of nodes, which sync less often each, a
+shorter one would make all of them read the store all the time.
 """
 
 import collections
 from collections.abc import Callable
 import dataclasses
 import datetime
+import enum
 from typing import final
 
-# Maximum age of the leader's information, counted from the last response of the
-# store to it. Together with the time of a request to the store, it stays below
-# the 2 s within which nodes must know that an endpoint is leaving.
-MAX_AGE = datetime.timedelta(seconds=1.4)
+# Time for a node's own read of the store, retries included, once the leader's
+# information is too old.
+READ_MARGIN = datetime.timedelta(milliseconds=600)
 
 # Rows kept for other nodes; a burst of declared versions has several dozen.
 MAX_ROWS = 500
@@ -57,6 +59,17 @@
     read_at: float
 
 
+class ReadCause(enum.StrEnum):
+    """Why a node reads a table itself."""
+
+    LEADER = "leader"
+    FIRST = "first"
+    OUTDATED = "outdated"  # the leader's information is too old
+    BEHIND = "behind"  # the leader could not send all rows
+    INTERVAL = "interval"  # from time to time, in any case
+    DUE = "due"  # an endpoint that is missing may be removed
+
+
 @final
 class RowLog:
     """A bounded log of the last relevant row changes of a table.
@@ -105,10 +118,17 @@
             relevant changes, from its own reads or from the leader.
         row_handlers: by table, the callback that applies rows sent by the
             leader.
+        known_within: returns the time within which changes must be known.
     """
 
-    def __init__(self, *, is_leader: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        is_leader: Callable[[], bool],
+        known_within: Callable[[], datetime.timedelta],
+    ) -> None:
         self.is_leader = is_leader
+        self.known_within = known_within
         self.local_states: dict[str, TableState] = {}
         self.leader_states: dict[str, TableState] = {}
         self.applied: dict[str, int] = {}
@@ -164,11 +184,26 @@
             self.logs.setdefault(table, RowLog()).add(rows)
             self.applied[table] = revision
 
-    def is_current(self, table: str, now: float) -> bool:
-        """Returns whether a recent update shows that no change is missing."""
+    @property
+    def max_age(self) -> datetime.timedelta:
+        """Maximum age of the leader's information.
+
+        It counts from the last response of the store to the leader.
+        """
+        return self.known_within() - READ_MARGIN
+
+    def read_cause(self, table: str, now: float) -> ReadCause | None:
+        """Returns why this node has to read a table itself.
+
+        Returns:
+            None if a recent update shows that no change is missing.
+        """
         state = self.leader_states.get(table)
         applied = self.applied.get(table)
-        if state is None or applied is None or self.is_leader():
-            return False
-        fresh = now - state.read_at < MAX_AGE.total_seconds()
-        return fresh and state.revision <= applied
+        if self.is_leader():
+            return ReadCause.LEADER
+        if state is None or applied is None:
+            return ReadCause.FIRST
+        if now - state.read_at >= self.max_age.total_seconds():
+            return ReadCause.OUTDATED
+        return ReadCause.BEHIND if state.revision > applied else None
