--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -29,8 +29,15 @@
 LOST_LOAD_FACTOR = 2.0
 LOST_LOAD_MARGIN_SECONDS = 0.1
 
+# A load from the store is expected to end this much later than estimated, since
+# loads ordered after it slow it down. A request that is sent too early costs a
+# retry of the shared budget.
+STORE_LOAD_MARGIN_FACTOR = 1.15
+
 # Delay after which a request that arrived before the end of the load retries.
+# It doubles with each further one.
 EARLY_RETRY_DELAY_SECONDS = 0.03
+MAX_EARLY_RETRY_DELAY_SECONDS = 0.24
 
 # After this many early requests, a load expected from host memory counts as one
 # from the store: the engine had not kept the weights.
@@ -55,6 +62,22 @@
 MAX_CHANGES = 2_000
 
 
+def early_retry_delay_seconds(early_requests: int) -> float:
+    """Returns the seconds until a request for a late load is sent again.
+
+    Load pattern: many loads are in flight, so each takes longer than estimated
+    when it was ordered. Requests that return at a fixed short interval spend
+    the retries that other requests need.
+
+    Args:
+        early_requests: requests that have found the load unfinished so far.
+    """
+    doublings = max(0, early_requests - 1)
+    return min(
+        EARLY_RETRY_DELAY_SECONDS * 2**doublings, MAX_EARLY_RETRY_DELAY_SECONDS
+    )
+
+
 @final
 class Placement:
     """The adapter slots of all engines that this node gives orders to.
@@ -288,7 +311,8 @@
         if slot.from_store:
             slot.others_in_flight = self.load_times.in_flight(at)
             self.load_times.record_order(at)
-        slot.ready_at = at + slot.expected
+        margin_factor = STORE_LOAD_MARGIN_FACTOR if slot.from_store else 1.0
+        slot.ready_at = at + slot.expected * margin_factor
         engine.record_in_memory(key)
         self._record_change(engine_id, key, slot.version, slot.ready_at)
         return slot
@@ -398,7 +422,8 @@
             return
         if now >= slot.ready_at:
             slot.early_requests += 1
-        slot.ready_at = max(slot.ready_at, now + EARLY_RETRY_DELAY_SECONDS)
+        retry_delay = early_retry_delay_seconds(slot.early_requests)
+        slot.ready_at = max(slot.ready_at, now + retry_delay)
         if (
             not slot.from_store
             and slot.early_requests >= EARLY_REQUESTS_TO_ASSUME_STORE
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -52,6 +52,9 @@
 # return to it if the next engine does not run the request.
 RETURN_RETRIES = 1
 
+# Between two tries to take a retry for a request whose adapter is being loaded.
+RETRY_WAIT_INTERVAL = datetime.timedelta(milliseconds=100)
+
 # How often a request is sent again after the engine did not hold the adapter.
 MAX_MISDIRECTED_RETRIES = 3
 
@@ -122,9 +125,7 @@
                     absent_from = self._handle_misdirected(call, engine)
                 if (
                     misdirected > MAX_MISDIRECTED_RETRIES
-                    or not await call.acquire_retry(
-                        self.budget, same_engine=error.misdirected
-                    )
+                    or not await self._acquire_retry(call, error)
                 ):
                     selection = self._return_to_left_engine(call, relay)
                     if selection is None:
@@ -145,6 +146,34 @@
                     if selection is None:
                         raise
 
+    async def _acquire_retry(
+        self, call: call_lib.Call, error: errors.NotRunError
+    ) -> bool:
+        """Takes a retry for a request that its engine has not run.
+
+        Load pattern: many loads take longer than expected at the same time, so
+        that their requests spend the budget. A request whose adapter is on its
+        way waits until a retry is left, as long as it may wait for a slot.
+        """
+        loop = asyncio.get_running_loop()
+        if error.misdirected:
+            wait_until = self._placement_wait_until(call)
+            while loop.time() < wait_until:
+                if await self.budget.take(call.service, loop.time()):
+                    return True
+                await asyncio.sleep(RETRY_WAIT_INTERVAL.total_seconds())
+        return await call.acquire_retry(
+            self.budget, same_engine=error.misdirected
+        )
+
+    def _placement_wait_until(self, call: call_lib.Call) -> float:
+        """Returns the loop time until which a request waits for a slot."""
+        timeout = call.deadline - call.received_at
+        return (
+            call.received_at
+            + timeout * engine_finder_lib.PLACEMENT_WAIT_FRACTION
+        )
+
     async def _acquire_due_retry(self, call: call_lib.Call) -> None:
         """Takes the retry of a request that an engine has put off.
 
@@ -162,12 +191,8 @@
         self, call: call_lib.Call, relay: "Relay", absent_from: str
     ) -> engine_finder_lib.EngineSelection:
         assert call.request.adapter is not None
-        timeout = call.deadline - call.received_at
         target_at = call.target_at
-        wait_until = (
-            call.received_at
-            + timeout * engine_finder_lib.PLACEMENT_WAIT_FRACTION
-        )
+        wait_until = self._placement_wait_until(call)
         if relay.reply.begun:
             target_at = call.deadline
             now = asyncio.get_running_loop().time()
