--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_grpc.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_grpc.py
@@ -26,6 +26,10 @@
     async def TakeSecondSend(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.SecondSendRequest, _dogwoodhinge.fleet.fleet_pb2.SecondSendReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Pace(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.PaceRequest, _dogwoodhinge.fleet.fleet_pb2.PaceReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def RelayLease(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.LeaseCall, _dogwoodhinge.fleet.fleet_pb2.LeaseAnswer]') -> None:
         pass
@@ -50,6 +54,12 @@
                 _dogwoodhinge.fleet.fleet_pb2.SecondSendRequest,
                 _dogwoodhinge.fleet.fleet_pb2.SecondSendReply,
             ),
+            '/dogwoodhinge.fleet.Fleet/Pace': grpclib.const.Handler(
+                self.Pace,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                _dogwoodhinge.fleet.fleet_pb2.PaceRequest,
+                _dogwoodhinge.fleet.fleet_pb2.PaceReply,
+            ),
             '/dogwoodhinge.fleet.Fleet/RelayLease': grpclib.const.Handler(
                 self.RelayLease,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -80,6 +90,12 @@
             _dogwoodhinge.fleet.fleet_pb2.SecondSendRequest,
             _dogwoodhinge.fleet.fleet_pb2.SecondSendReply,
         )
+        self.Pace = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/dogwoodhinge.fleet.Fleet/Pace',
+            _dogwoodhinge.fleet.fleet_pb2.PaceRequest,
+            _dogwoodhinge.fleet.fleet_pb2.PaceReply,
+        )
         self.RelayLease = grpclib.client.UnaryUnaryMethod(
             channel,
             '/dogwoodhinge.fleet.Fleet/RelayLease',
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -28,6 +28,9 @@
 RetryStream: TypeAlias = grpc_server.Stream[
     fleet_pb2.SecondSendRequest, fleet_pb2.SecondSendReply
 ]
+PaceStream: TypeAlias = grpc_server.Stream[
+    fleet_pb2.PaceRequest, fleet_pb2.PaceReply
+]
 LeaseStream: TypeAlias = grpc_server.Stream[
     fleet_pb2.LeaseCall, fleet_pb2.LeaseAnswer
 ]
@@ -79,6 +82,15 @@
         if request is not None:
             await stream.send_message(self.take_retry(request))
 
+    async def Pace(
+        self,
+        stream: PaceStream,
+    ) -> None:
+        """Handles the reservation of a turn of an engine for a prompt."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self.reserve_prefill(request))
+
     async def RelayLease(
         self,
         stream: LeaseStream,
@@ -128,6 +140,21 @@
             return fleet_pb2.SecondSendReply(not_owner=True)
         return fleet_pb2.SecondSendReply(granted=granted)
 
+    def reserve_prefill(
+        self, request: fleet_pb2.PaceRequest
+    ) -> fleet_pb2.PaceReply:
+        """Reserves a turn of an engine for one prompt."""
+        if not self.leader.leading:
+            return fleet_pb2.PaceReply(not_owner=True)
+        delay = self.leader.prefill_schedule.reserve(
+            request.engine_id,
+            request.tokens,
+            tokens_per_second=max(1, request.tokens_per_second),
+            longest_delay=request.longest_delay_ms / 1000,
+            now=asyncio.get_running_loop().time(),
+        )
+        return fleet_pb2.PaceReply(delay_ms=round(delay * 1000))
+
     def sync(self, request: fleet_pb2.SyncRequest) -> fleet_pb2.SyncReply:
         """Records a node's use and returns what has changed."""
         use = usage_lib.NodeUse(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -23,6 +23,7 @@
 from _dogwoodhinge.fleet import orders as orders_lib
 from _dogwoodhinge.fleet import placement as placement_lib
 from _dogwoodhinge.fleet import placement_queue as placement_queue_lib
+from _dogwoodhinge.fleet import prefill_schedule as prefill_schedule_lib
 from _dogwoodhinge.fleet import shared_retry_budget as shared_retry_budget_lib
 from _dogwoodhinge.fleet import usage as usage_lib
 from dogwoodhinge import errors
@@ -67,6 +68,7 @@
         state_reads: reads of engine states in flight, by engine.
         loads: adapter loads in flight.
         rejected: placement requests rejected since the last log line.
+        prefill_schedule: when each engine may get its next prompt.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
             lead_time=self._expected_delay,
             rng=random.Random(),
         )
+        self.prefill_schedule = prefill_schedule_lib.PrefillSchedule()
         self.rejected = 0
         self.rejection_logged_at = -math.inf
         self.loads: set[asyncio.Task[adapter_slots_lib.Assignment]] = set()
@@ -344,6 +347,7 @@
                 del self.loader.order_states[engine_id]
                 wanted = self.placement.sole_popular_adapters(engine_id, now)
                 self.placement.drop_engine(engine_id, now)
+                self.prefill_schedule.forget(engine_id)
                 if engine_id in self.directory.engines:
                     moved[engine_id] = wanted
                 self.base_models.record_load_end(engine_id)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -25,6 +25,7 @@
 # for two orders to one engine.
 PLACEMENT_TIMEOUT = datetime.timedelta(milliseconds=900)
 SYNC_TIMEOUT = datetime.timedelta(milliseconds=400)
+PACE_TIMEOUT = datetime.timedelta(milliseconds=100)
 
 # After the leader has rejected a retry or has not responded, no retries are
 # requested for this time, in which a sync can make new ones available.
@@ -168,6 +169,42 @@
             )
         return reply.granted
 
+    async def reserve_prefill(
+        self,
+        engine_id: str,
+        tokens: int,
+        *,
+        tokens_per_second: float,
+        longest_delay: float,
+    ) -> float:
+        """Reserves the next turn of an engine for a prompt.
+
+        See `prefill_schedule.PrefillSchedule.reserve`.
+
+        Returns:
+            Seconds until the prompt may be sent.
+
+        Raises:
+            NotLeaderError: no leader is known, or the node called is not the
+                leader.
+            LeaderUnreachableError: the leader did not respond.
+        """
+        request = fleet_pb2.PaceRequest(
+            engine_id=engine_id,
+            tokens=tokens,
+            tokens_per_second=max(1, round(tokens_per_second)),
+            longest_delay_ms=max(0, round(longest_delay * 1000)),
+        )
+        if self._is_local():
+            reply = self.local.reserve_prefill(request)
+        else:
+            reply = await self._call(
+                lambda stub: stub.Pace(request), PACE_TIMEOUT
+            )
+        if reply.not_owner:
+            raise leader_lib.NotLeaderError("the leader has changed")
+        return reply.delay_ms / 1000
+
     async def sync(self, request: fleet_pb2.SyncRequest) -> None:
         """Reports this node's use and applies the changes since the last sync.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
@@ -39,6 +39,8 @@
         shares: the services, usually one.
         max_engines: maximum number of engines that one request is sent to.
         resumable: whether a stream may be resumed on another engine.
+        longest_pause: longest pause between events of a stream that is still
+            on time; None if the route does not say.
     """
 
     name: str
@@ -51,6 +53,7 @@
     shares: tuple[Share, ...]
     max_engines: int
     resumable: bool = False
+    longest_pause: datetime.timedelta | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -20,6 +20,7 @@
 from _dogwoodhinge.gateway import engine_finder as engine_finder_lib
 from _dogwoodhinge.gateway import errors
 from _dogwoodhinge.gateway import plain
+from _dogwoodhinge.gateway import prefill_pacing as prefill_pacing_lib
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import sender as sender_lib
@@ -52,7 +53,9 @@
 # return to it if the next engine does not run the request.
 RETURN_RETRIES = 1
 
-# Between two tries to take a retry for a request whose adapter is being loaded.
+# A request whose adapter is being loaded waits this long for a retry: callers
+# disconnect after two seconds without an event.
+RETRY_WAIT = datetime.timedelta(seconds=1)
 RETRY_WAIT_INTERVAL = datetime.timedelta(milliseconds=100)
 
 # How often a request is sent again after the engine did not hold the adapter.
@@ -73,8 +76,10 @@
         sender: sender_lib.Sender,
         engine_finder: engine_finder_lib.EngineFinder,
         budget: retry_budget_lib.RetryBudget,
+        prefill_pacing: prefill_pacing_lib.PrefillPacing,
     ) -> None:
         self.sender = sender
+        self.prefill_pacing = prefill_pacing
         self.engine_finder = engine_finder
         self.budget = budget
         self.switching: collections.Counter[str] = collections.Counter()
@@ -94,6 +99,7 @@
                 raise
         finally:
             self._end_return_option(call, relay)
+            self.prefill_pacing.record_stream(call)
 
     async def _forward_until_answered(
         self, call: call_lib.Call, relay: "Relay"
@@ -153,11 +159,14 @@
 
         Load pattern: many loads take longer than expected at the same time, so
         that their requests spend the budget. A request whose adapter is on its
-        way waits until a retry is left, as long as it may wait for a slot.
+        way waits a while until a retry is left.
         """
         loop = asyncio.get_running_loop()
         if error.misdirected:
-            wait_until = self._placement_wait_until(call)
+            wait_until = min(
+                self._placement_wait_until(call),
+                loop.time() + RETRY_WAIT.total_seconds(),
+            )
             while loop.time() < wait_until:
                 if await self.budget.take(call.service, loop.time()):
                     return True
@@ -281,9 +290,12 @@
         call.found_by = selection.found_by
         call.adapter_version = selection.version or 0
         call.tried_engines.append(engine.engine_id)
-        call.sent_at = loop.time()
         engine.running += 1
         try:
+            await self.prefill_pacing.wait_for_turn(
+                call, engine, begun=relay.reply.begun
+            )
+            call.sent_at = loop.time()
             response = await self.sender.open(
                 engine,
                 call.request,
@@ -302,6 +314,11 @@
             )
             try:
                 unread_prompt.end()
+                self.prefill_pacing.record_first_event(
+                    call.service,
+                    call.request.prompt_tokens,
+                    loop.time() - call.sent_at,
+                )
                 if response.head.status == 200:
                     self._end_return_option(call, relay)
                 await relay.relay_response(
