--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -25,6 +25,7 @@
         tried_engines: engines that the request was sent to, in order.
         unreachable_engines: engines that could not be connected to.
         steps: attempts and failures, for the log line.
+        turn_at: the engine that it has had a turn at; see `PrefillPacing`.
         retry_due: whether the next send is a retry that has not been taken
             from the budget yet.
         may_have_run: whether it was sent and no engine confirmed that it did
@@ -63,6 +64,7 @@
         self.tried_engines: list[str] = []
         self.unreachable_engines: set[str] = set()
         self.steps: list[str] = []
+        self.turn_at = ""
         self.retry_due = False
         self.may_have_run = False
         self.sent_at: float | None = None
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
@@ -2,8 +2,9 @@
 
 Load pattern: see `fleet.prefill_schedule`. Whether an engine's streams pause for
 too long under unread prompts depends on its speed and on the tokens in an event,
-which no node is told. Pauses of the streams that this node forwards show it, and
-the time to the first event of its prompts shows how fast they are read.
+which no node is told. The pauses of the streams that a node forwards show it,
+and the time to the first event of its prompts shows how fast they are read.
+Until then prompts are paced: a node often starts when callers return together.
 """
 
 import asyncio
@@ -21,6 +22,10 @@
 MIN_STREAMS = 10
 MIN_PROMPTS = 10
 
+# Prompt tokens per second that are assumed before enough prompts were timed; a
+# slow engine.
+INITIAL_SPEED = 16_000.0
+
 # Prompts are paced if this share of the streams paused for longer than this
 # fraction of what their route allows.
 LONG_PAUSE_FRACTION = 0.8
@@ -102,18 +107,18 @@
         )
         speeds.append(tokens / seconds)
 
-    def speed(self, service: str) -> float | None:
+    def speed(self, service: str) -> float:
         """Returns the prompt tokens that an engine reads per second."""
         speeds = self.speeds.get(service, ())
         if len(speeds) < MIN_PROMPTS:
-            return None
+            return INITIAL_SPEED
         return sorted(speeds)[int(len(speeds) * SPEED_QUANTILE)]
 
-    def streams_pause(self, service: str) -> bool:
-        """Returns whether many streams of a service pause for too long."""
+    def streams_may_pause(self, service: str) -> bool:
+        """Returns whether many streams pause for too long, or none are known."""
         pauses = self.pauses.get(service, ())
         if len(pauses) < MIN_STREAMS:
-            return False
+            return True
         long_ones = sum(pause > LONG_PAUSE_FRACTION for pause in pauses)
         return long_ones >= LONG_PAUSE_SHARE * len(pauses)
 
@@ -122,6 +127,8 @@
     ) -> None:
         """Waits until an engine may get the prompt of a request.
 
+        A request that the engine has refused since its turn does not wait again.
+
         Args:
             call: the request.
             engine: the engine that it is sent to.
@@ -130,11 +137,13 @@
         speed = self.speed(call.service)
         loop = asyncio.get_running_loop()
         if (
-            speed is None
-            or loop.time() < self.asked_again_at
-            or not self.streams_pause(call.service)
+            loop.time() < self.asked_again_at
+            or call.route.longest_pause is None
+            or call.turn_at == engine.engine_id
+            or not self.streams_may_pause(call.service)
         ):
             return
+        call.turn_at = engine.engine_id
         tokens = call.request.prompt_tokens
         longest = 0.0
         if not begun:
