--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/prefill_schedule.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/prefill_schedule.py
@@ -37,20 +37,25 @@
     ) -> float:
         """Reserves the next turn of an engine for a prompt.
 
+        A prompt whose turn would come too late gets none and is sent at once:
+        to hold it back would make its first event late without sparing the
+        streams anything.
+
         Args:
             engine_id: the engine.
             tokens: length of the prompt.
             tokens_per_second: pace at which the engine gets prompts.
-            longest_delay: seconds after which the prompt is sent in any case.
+            longest_delay: seconds for which the prompt may wait.
             now: loop time.
 
         Returns:
             Seconds until the prompt may be sent.
         """
         turn_at = max(now, self.free_at.get(engine_id, now))
-        delay = min(turn_at - now, max(0.0, longest_delay))
+        if turn_at - now > longest_delay:
+            return 0.0
         self.free_at[engine_id] = turn_at + tokens / tokens_per_second
-        return delay
+        return turn_at - now
 
     def forget(self, engine_id: str) -> None:
         """Drops an engine that is gone."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
@@ -1,10 +1,10 @@
 """Decides on this node when prompts are sent, so that they delay no streams.
 
-Load pattern: see `fleet.prefill_schedule`. Whether an engine's streams pause for
-too long under unread prompts depends on its speed and on the tokens in an event,
-which no node is told. The pauses of the streams that a node forwards show it,
-and the time to the first event of its prompts shows how fast they are read.
-Until then prompts are paced: a node often starts when callers return together.
+Load pattern: see `fleet.prefill_schedule`. Whether streams pause for too long
+under unread prompts depends on the speed of their engine and on the tokens in an
+event, which no node is told. The pauses of the streams that a node forwards show
+it, and the time to the first event shows how fast prompts are read. Until then
+prompts are paced: a node often starts when callers return together.
 """
 
 import asyncio
@@ -115,7 +115,7 @@
         return sorted(speeds)[int(len(speeds) * SPEED_QUANTILE)]
 
     def streams_may_pause(self, service: str) -> bool:
-        """Returns whether many streams pause for too long, or none are known."""
+        """Returns whether many streams pause too long, or few are known."""
         pauses = self.pauses.get(service, ())
         if len(pauses) < MIN_STREAMS:
             return True
@@ -127,7 +127,7 @@
     ) -> None:
         """Waits until an engine may get the prompt of a request.
 
-        A request that the engine has refused since its turn does not wait again.
+        A request that the engine refused after its turn does not wait again.
 
         Args:
             call: the request.
