--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
@@ -1,10 +1,10 @@
 """Decides on this node when prompts are sent, so that they delay no streams.
 
 Load pattern: see `fleet.prefill_schedule`. Whether streams pause for too long
-under unread prompts depends on the speed of their engine and on the tokens in an
-event, which no node is told. The pauses of the streams that a node forwards show
-it, and the time to the first event shows how fast prompts are read. Until then
-prompts are paced: a node often starts when callers return together.
+under unread prompts depends on the speed of their engine and on the tokens in
+an event, which no node is told. The pauses of the streams that a node forwards
+show it, and the time to the first event shows how fast prompts are read. Until
+then prompts are paced: a node often starts when callers return together.
 """
 
 import asyncio
