--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -15,6 +15,11 @@
 ENGINE_RESPONSE_MARGIN = datetime.timedelta(milliseconds=120)
 
 
+MIN_CALLER_PATIENCE = datetime.timedelta(seconds=2)
+CALLER_PATIENCE_TARGETS = 4
+CALLER_PATIENCE_PAUSES = 8
+
+
 @final
 class Call:
     """Deadline, attempts and log fields of one request.
@@ -91,6 +96,21 @@
         """Loop time by which the first event is due."""
         return self.received_at + self.route.latency_target.total_seconds()
 
+    @property
+    def patience_ends_at(self) -> float:
+        """Loop time at which the caller of a stream gives up without an event.
+
+        Callers wait for two seconds, four latency targets or eight of the
+        longest allowed pauses, whichever is longest.
+        """
+        waits = [
+            MIN_CALLER_PATIENCE,
+            self.route.latency_target * CALLER_PATIENCE_TARGETS,
+        ]
+        if self.route.longest_pause is not None:
+            waits.append(self.route.longest_pause * CALLER_PATIENCE_PAUSES)
+        return self.received_at + max(waits).total_seconds()
+
     @property
     def gateway_timeout_at(self) -> float:
         """Loop time at which this node stops waiting for the engine."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -53,6 +53,9 @@
 # return to it if the next engine does not run the request.
 RETURN_RETRIES = 1
 
+# Time from the end of a wait to the first event, of most requests.
+START_MARGIN = datetime.timedelta(milliseconds=700)
+
 # A request whose adapter is being loaded waits this long for a retry: callers
 # disconnect after two seconds without an event.
 RETRY_WAIT = datetime.timedelta(seconds=1)
@@ -176,11 +179,17 @@
         )
 
     def _placement_wait_until(self, call: call_lib.Call) -> float:
-        """Returns the loop time until which a request waits for a slot."""
+        """Returns the loop time until which a request waits for a slot.
+
+        Load pattern: routes whose timeouts are several times as long as their
+        callers wait for a first event. A request that would still wait when its
+        caller gives up is refused before, so that the caller can try again.
+        """
         timeout = call.deadline - call.received_at
-        return (
-            call.received_at
-            + timeout * engine_finder_lib.PLACEMENT_WAIT_FRACTION
+        share = timeout * engine_finder_lib.PLACEMENT_WAIT_FRACTION
+        return min(
+            call.received_at + share,
+            call.patience_ends_at - START_MARGIN.total_seconds(),
         )
 
     async def _acquire_due_retry(self, call: call_lib.Call) -> None:
