--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engine_selection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engine_selection.py
@@ -48,6 +48,23 @@
     )
 
 
+def load_after_seconds(
+    work: engines_lib.Work, request_slots: int, seconds: float
+) -> float:
+    """Returns the load that is left once prompts were read for a while.
+
+    Load pattern: clumps of prompts, which are read within some hundred
+    milliseconds, on engines whose running requests last for seconds.
+
+    Args:
+        work: requests in flight on the engine.
+        request_slots: requests that it runs at once.
+        seconds: time for which it reads prompts.
+    """
+    backlog = max(0.0, prefill_backlog_seconds(work) - seconds)
+    return work.running / max(1, request_slots) + backlog / FULL_BACKLOG_SECONDS
+
+
 def score(engine: engines_lib.Engine, zone: str, now: float) -> float:
     """Returns the cost of sending a request to an engine; lower is better."""
     result = load(engine.work, engine.entry.slots)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -51,8 +51,9 @@
 EVICTION_GRACE_SECONDS = 0.35
 
 # Costs of a slot, in units of engine load: loading from the store instead of
-# host memory, and evicting an adapter that is requested once per half-life.
-STORE_LOAD_COST = 0.5
+# host memory, which takes a quarter of a second longer and occupies the store,
+# and evicting an adapter that is requested once per half-life.
+STORE_LOAD_COST = 1.0
 EVICTION_COST = 0.1
 
 # Score of an adapter that is worth a load ahead of its next request: it was
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
@@ -36,6 +36,9 @@
 NO_LEADER_RETRY_DELAY = datetime.timedelta(milliseconds=1_000)
 NO_ENGINE_RETRY_DELAY = datetime.timedelta(milliseconds=800)
 
+# Time of a load from the store, with the order and its reply.
+REPLICATION_SECONDS = 0.3
+
 # An adapter is loaded on one more engine if the load of all its holders reaches
 # this minimum and another engine has less load by at least this difference. A
 # smaller difference does not outweigh the cost of loading the adapter.
@@ -61,6 +64,12 @@
     found_by: str
 
 
+def _load_after_replication(engine: engines_lib.Engine) -> float:
+    return engine_selection.load_after_seconds(
+        engine.work, engine.entry.slots, REPLICATION_SECONDS
+    )
+
+
 @final
 class EngineFinder:
     """Selects an engine that holds an adapter, or has the adapter loaded."""
@@ -257,19 +266,18 @@
         engines: list[engines_lib.Engine],
         holders: list[tuple[engines_lib.Engine, engines_lib.HeldAdapter]],
     ) -> frozenset[str]:
-        """Returns all holders if loading the adapter elsewhere is faster."""
+        """Returns all holders if loading the adapter elsewhere is faster.
+
+        Prompts that the holders read while it is loaded are no reason to.
+        """
         loads = {
-            engine.engine_id: engine_selection.load(
-                engine.work, engine.entry.slots
-            )
+            engine.engine_id: _load_after_replication(engine)
             for engine, _ in holders
         }
         lowest_load = min(loads.values())
         if lowest_load < REPLICATION_MIN_LOAD:
             return frozenset()
-        lowest_engine_load = min(
-            engine_selection.load(e.work, e.entry.slots) for e in engines
-        )
+        lowest_engine_load = min(map(_load_after_replication, engines))
         if lowest_load - lowest_engine_load < REPLICATION_MIN_LOAD_DIFFERENCE:
             return frozenset()
         return frozenset(loads)
