--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -654,3 +654,26 @@
     placement.record_node_use("node", dict.fromkeys(rest, 1), {}, 10.0)
     second = find(placement, 1_001, candidate("e1"), now=10.0)
     assert isinstance(second, adapter_slots_lib.NoFreeSlot)
+
+
+@pytest.mark.parametrize(
+    ("unread", "engine_id"), [(10_000, "e1"), (20_000, "e2")]
+)
+def test_adapter_is_loaded_where_its_weights_are_in_memory(
+    unread: int, engine_id: str
+) -> None:
+    """Regression: every sixth load came from the store although not needed.
+
+    Load pattern: clumps of prompts at the engine that has the weights.
+    """
+    placement = make_placement("e1", "e2")
+    placement.engines["e1"].record_in_memory(key(1))
+    assignment = find(
+        placement,
+        1,
+        candidate("e1", unread=unread),
+        candidate("e2"),
+        now=0.0,
+    )
+    assert isinstance(assignment, adapter_slots_lib.Assignment)
+    assert assignment.engine_id == engine_id
