Lint checks which modules read the time of day

Clocks of the quote desk jump by seconds, forward and back. On the users' path only log lines read the time of day; leases, ages, pauses, budgets and feeds use the steady clock, which this check keeps so. Tried: with event_log taken off the list the check names its line and fails.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/python tools/check_imports.py $(SOURCES)
+	$(BIN)/python tools/check_clocks.py packages/dogwoodhinge/src packages/dogwoodctl/src platform/dogwoodhinge_platform
 
 types: venv
 	$(BIN)/mypy packages/dogwoodhinge/src packages/dogwoodctl/src packages/dogwoodhinge-lab/src platform/dogwoodhinge_platform
