--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -146,7 +146,7 @@
         known = self.of_service(service)
         return bool(known) and all(engine.leaving for engine in known)
 
-    def open(self, service: str, now: float) -> list[Engine]:
+    def accepting(self, service: str, now: float) -> list[Engine]:
         """Returns the serving endpoints whose pauses allow a request now."""
         return [e for e in self.serving(service) if e.opens_at(now) <= now]
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -199,7 +199,9 @@
             reply = self.local.reserve_prefill(request)
         else:
             reply = await self._call(
-                lambda stub: stub.Pace(request), PACE_TIMEOUT
+                lambda stub: stub.Pace(request),
+                PACE_TIMEOUT,
+                keep_channel=True,
             )
         if reply.not_owner:
             raise leader_lib.NotLeaderError("the leader has changed")
@@ -289,6 +291,8 @@
         self,
         call: Callable[[fleet_grpc.FleetStub], Awaitable[Reply]],
         timeout: datetime.timedelta,
+        *,
+        keep_channel: bool = False,
     ) -> Reply:
         address = self.address()
         if not address:
@@ -301,8 +305,10 @@
                 return await grpc_calls.run(call(stub))
         except peer_channels.CALL_ERRORS as error:
             # A dead connection is noticed only here; the next call opens a new
-            # one.
-            self._drop_channel()
+            # one. Calls with a short timeout leave that to the others, which
+            # would be cancelled with the connection.
+            if not keep_channel:
+                self._drop_channel()
             raise LeaderUnreachableError(
                 f"leader {address}: {error or 'timed out'}"
             ) from error
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -15,6 +15,9 @@
 ENGINE_RESPONSE_MARGIN = datetime.timedelta(milliseconds=120)
 
 
+# Time from the end of a wait to the first event, of most requests.
+START_MARGIN = datetime.timedelta(milliseconds=700)
+
 MIN_CALLER_PATIENCE = datetime.timedelta(seconds=2)
 CALLER_PATIENCE_TARGETS = 4
 CALLER_PATIENCE_PAUSES = 8
@@ -30,7 +33,7 @@
         tried_engines: engines that the request was sent to, in order.
         unreachable_engines: engines that could not be connected to.
         steps: attempts and failures, for the log line.
-        turn_at: the engine that it has had a turn at; see `PrefillPacing`.
+        turn_engine: the engine that gave it a turn; see `PrefillPacing`.
         retry_due: whether the next send is a retry that has not been taken
             from the budget yet.
         may_have_run: whether it was sent and no engine confirmed that it did
@@ -69,7 +72,7 @@
         self.tried_engines: list[str] = []
         self.unreachable_engines: set[str] = set()
         self.steps: list[str] = []
-        self.turn_at = ""
+        self.turn_engine = ""
         self.retry_due = False
         self.may_have_run = False
         self.sent_at: float | None = None
@@ -111,6 +114,11 @@
             waits.append(self.route.longest_pause * CALLER_PATIENCE_PAUSES)
         return self.received_at + max(waits).total_seconds()
 
+    @property
+    def start_by(self) -> float:
+        """Loop time by which a stream must be sent for its caller to wait."""
+        return self.patience_ends_at - START_MARGIN.total_seconds()
+
     @property
     def gateway_timeout_at(self) -> float:
         """Loop time at which this node stops waiting for the engine."""
@@ -152,9 +160,15 @@
 
     @property
     def pause_wait_until(self) -> float:
-        """Loop time until which it may wait for engines that want a pause."""
+        """Loop time until which it may wait for engines that want a pause.
+
+        The caller of a stream gives up before half of a long timeout is over.
+        """
         time = self.deadline - self.received_at
-        return self.received_at + time * pause_queue.MAX_WAIT_FRACTION
+        half = self.received_at + time * pause_queue.MAX_WAIT_FRACTION
+        if self.request.adapter is None:
+            return half
+        return min(half, self.start_by)
 
     def forget_try(self, engine_id: str) -> None:
         """Records that an engine did not run it and may be selected again."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
@@ -180,7 +180,7 @@
         key = placement_request.key
         engines = [
             e
-            for e in self.directory.open(service, now)
+            for e in self.directory.accepting(service, now)
             if e.engine_id not in placement_request.avoid
         ]
         if not engines:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/pause_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/pause_queue.py
@@ -94,8 +94,9 @@
         stagger = ahead * WAKE_INTERVAL_SECONDS
         self.waiting[service] += 1
         try:
-            while (at := opens_at(now)) > now:
-                if now >= wait_until or math.isinf(at):
+            # Without any engine left, the caller of this rejects the request.
+            while now < (at := opens_at(now)) < math.inf:
+                if now >= wait_until:
                     raise self._rejection(service, opens_at)
                 await asyncio.sleep(min(at + stagger, wait_until) - now)
                 now = loop.time()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -318,7 +318,7 @@
 
     def _choose(self, call: call_lib.Call) -> engines_lib.Engine | None:
         now = asyncio.get_running_loop().time()
-        serving = self.directory.open(call.service, now)
+        serving = self.directory.accepting(call.service, now)
         untried = [
             e for e in serving if e.engine_id not in call.excluded_engines
         ]
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
@@ -77,6 +77,7 @@
             of what their routes allow.
         speeds: by service, prompt tokens per second until the first event.
         delayed_seconds: time for which prompts have waited.
+        ask_again_at: loop time before which the leader is not asked.
     """
 
     def __init__(self, leader_client: leader_client_lib.LeaderClient) -> None:
@@ -84,7 +85,7 @@
         self.pauses: dict[str, collections.deque[float]] = {}
         self.speeds: dict[str, collections.deque[float]] = {}
         self.delayed_seconds = 0.0
-        self.asked_again_at = 0.0
+        self.ask_again_at = 0.0
 
     def record_stream(self, call: call_lib.Call) -> None:
         """Records the pauses of a stream that has ended."""
@@ -137,13 +138,13 @@
         speed = self.speed(call.service)
         loop = asyncio.get_running_loop()
         if (
-            loop.time() < self.asked_again_at
+            loop.time() < self.ask_again_at
             or call.route.longest_pause is None
-            or call.turn_at == engine.engine_id
+            or call.turn_engine == engine.engine_id
             or not self.streams_may_pause(call.service)
         ):
             return
-        call.turn_at = engine.engine_id
+        call.turn_engine = engine.engine_id
         tokens = call.request.prompt_tokens
         longest = 0.0
         if not begun:
@@ -157,9 +158,10 @@
                 tokens_per_second=speed * PACE_FRACTION,
                 longest_delay=min(longest, max(0.0, call.time_left())),
             )
-        except leader_lib.NotLeaderError:
+        except leader_lib.NotLeaderError as error:
             # Without a leader the prompts are sent as they come.
-            self.asked_again_at = loop.time() + RETRY_DELAY.total_seconds()
+            call.add_step(f"not_paced {error}")
+            self.ask_again_at = loop.time() + RETRY_DELAY.total_seconds()
             return
         if delay > 0:
             self.delayed_seconds += delay
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -53,9 +53,6 @@
 # return to it if the next engine does not run the request.
 RETURN_RETRIES = 1
 
-# Time from the end of a wait to the first event, of most requests.
-START_MARGIN = datetime.timedelta(milliseconds=700)
-
 # A request whose adapter is being loaded waits this long for a retry: callers
 # disconnect after two seconds without an event.
 RETRY_WAIT = datetime.timedelta(seconds=1)
@@ -187,10 +184,7 @@
         """
         timeout = call.deadline - call.received_at
         share = timeout * engine_finder_lib.PLACEMENT_WAIT_FRACTION
-        return min(
-            call.received_at + share,
-            call.patience_ends_at - START_MARGIN.total_seconds(),
-        )
+        return min(call.received_at + share, call.start_by)
 
     async def _acquire_due_retry(self, call: call_lib.Call) -> None:
         """Takes the retry of a request that an engine has put off.
--- a/packages/dogwoodhinge/testing/gateway/test_prefill_pacing.py
+++ b/packages/dogwoodhinge/testing/gateway/test_prefill_pacing.py
@@ -42,7 +42,7 @@
         "service": "llm",
         "events": 20,
         "longest_pause": 0.36,
-        "turn_at": "",
+        "turn_engine": "",
         "route": types.SimpleNamespace(longest_pause=ALLOWED),
         "request": types.SimpleNamespace(prompt_tokens=1_000),
         "steps": steps,
