--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -594,3 +594,35 @@
             adapter_slots_lib.PlacementRequest(key=KEY, version=0)
         )
     assert orders.sent == []
+
+
+async def test_late_turn_for_a_prompt_keeps_the_channel_to_the_leader(
+    node: Node, other: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: placement calls in flight were cancelled with it."""
+    await wait_for_engine_state(node)
+    await until(lambda: other.leader_client.nodes)
+    channel = other.leader_client.channel
+    assert channel is not None
+    timeout = datetime.timedelta(0)
+    monkeypatch.setattr(leader_client, "PACE_TIMEOUT", timeout)
+    with pytest.raises(leader_client.LeaderUnreachableError):
+        await other.leader_client.reserve_prefill(
+            "e1", 100, tokens_per_second=1_000, longest_delay=1.0
+        )
+    assert other.leader_client.channel is channel
+
+
+async def test_turns_for_prompts_are_given_by_the_leader(
+    node: Node, other: Node
+) -> None:
+    await wait_for_engine_state(node)
+    await until(lambda: node.leader.leading and other.leader_client.nodes)
+    delays = [
+        await asking.leader_client.reserve_prefill(
+            "e1", 500, tokens_per_second=1_000, longest_delay=2.0
+        )
+        for asking in (node, other)
+    ]
+    assert delays[0] == 0.0
+    assert 0.3 < delays[1] <= 0.5
