A request received as its timeout takes effect is served

What callers saw: a connection closed without an answer, and the line request_unfinished, for a request that had been received whole.

Cause: a timeout is delivered a turn of the event loop after it has expired. The second look at the connection covered data of the turn of the expiry, not data of the turn in which the second timeout is delivered. Now the connection is read again as long as something has arrived. test_request_received_as_its_timeout_expires_is_read delivers the request in each of seven turns; turns 3 and 4 failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/config/reader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/config/reader.py
@@ -147,7 +147,7 @@
             yield
     except (public_errors.TableError, TimeoutError) as error:
         raise errors.ConfigUnavailableError(
-            f"reading the table failed: {error or 'timed out'}"
+            f"reading the table failed: {str(error) or 'timed out'}"
         ) from error
     except pydantic.ValidationError as error:
         raise errors.ConfigUnavailableError(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -310,7 +310,7 @@
             if not keep_channel:
                 self._drop_channel()
             raise LeaderUnreachableError(
-                f"leader {address}: {error or 'timed out'}"
+                f"leader {address}: {str(error) or 'timed out'}"
             ) from error
 
     def _channel_to(self, address: str) -> grpc_client.Channel:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -154,6 +154,6 @@
         except (OSError, TimeoutError) as error:
             raise errors.ConnectError(
                 f"could not connect to {self.host}:{self.port}: "
-                f"{error or 'timed out'}"
+                f"{str(error) or 'timed out'}"
             ) from error
         return new_connection
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -208,14 +208,17 @@
         ProtocolError: the received bytes are not valid HTTP.
         TimeoutError: the event was not received in time.
     """
-    try:
-        async with asyncio.timeout_at(deadline):
-            return await connection.next_event()
-    except TimeoutError:
-        # The event may have been received in the turn of the event loop in
-        # which the timeout expired.
-        async with asyncio.timeout_at(deadline):
-            return await connection.next_event()
+    may_have_arrived = True
+    while True:
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await connection.next_event()
+        except TimeoutError:
+            # The event may have been received in the turn of the event loop
+            # in which the timeout expired, or in which it was delivered.
+            if not (may_have_arrived or connection.readable):
+                raise
+            may_have_arrived = False
 
 
 Handler = Callable[[RawRequest, Reply], Awaitable[None]]
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -655,6 +655,29 @@
     writer.close()
 
 
+@pytest.mark.parametrize("turns", range(7))
+async def test_request_received_as_its_timeout_expires_is_read(
+    turns: int,
+) -> None:
+    """Regression: the connection was closed, though the request was complete.
+
+    The timeout is delivered some turns of the event loop after it has expired,
+    and the request was received in one of them.
+    """
+    connection = connection_lib.Connection(role=h11.SERVER, max_head_bytes=1000)
+    now = asyncio.get_running_loop().time()
+    reading = asyncio.create_task(server_lib._next_event(connection, now))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    expired = reading.done()
+    connection.data_received(REQUEST % 1)
+    if expired:
+        with pytest.raises(TimeoutError):
+            await reading
+    else:
+        assert isinstance(await reading, h11.Request)
+
+
 async def test_half_received_head_expires(harness: ServerHarness) -> None:
     harness.limits = SHORT_LIMITS
     reader, writer = await harness.connect()
