Orders that an engine rejects no longer cost it a second

What callers saw: first events late by the wait for an adapter.

Now an assignment counts as use until its node reports, and nothing is evicted beside an unload that waits. - 64 rejected loads: most follow an unload of an adapter that was absent already, which the engine answers as usual and does not count. They now count as in flight, and show how long loads take.

Ruled out: requests of other nodes on the victims (157 of 1,189 had any, by the log), counts changed by another leader (one held the lease), orders about base models.

Five tests failed before: test_unload_of_an_absent_adapter_does_not_count, test_other_conflict_after_an_unload_is_tried_once_more_only, test_order_beside_late_loads_keeps_the_engine_usable, test_nothing_is_evicted_beside_an_unload_that_waits, test_assigned_adapter_is_kept_until_its_node_reports. Not yet measured in full.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
@@ -84,6 +84,8 @@
         busy: an order about a base model is under way.
         holds_model: the base model is there.
         blocked: adapters on which another order is still under way.
+        loading: adapters on their way to the engine; it rejects an order to
+            load one more than `max_loading` of them.
         frozen: a report to be answered from now on, as one that lags behind.
     """
 
@@ -93,6 +95,8 @@
     blocked: set[models.AdapterKey] = dataclasses.field(default_factory=set)
     residents: set[models.AdapterKey] = dataclasses.field(default_factory=set)
     in_use: set[models.AdapterKey] = dataclasses.field(default_factory=set)
+    loading: set[models.AdapterKey] = dataclasses.field(default_factory=set)
+    max_loading: int = 4
     frozen: models.EngineReport | None = None
     lose: collections.deque[bool] = dataclasses.field(
         default_factory=collections.deque
@@ -146,11 +150,27 @@
         reply = orders.OrderReply.CONFLICT
         blocked = order.key in self.blocked
         if carried_out and count == self.accepted and not blocked:
-            reply = self._carry_out(order)
+            if self._holds_already(order):
+                reply = orders.OrderReply.DONE
+            elif not self._loads_too_many(order):
+                reply = self._carry_out(order)
         if lost:
             raise errors.EngineOutcomeUnknownError("no answer")
         return reply
 
+    def _holds_already(self, order: orders.Order) -> bool:
+        """Returns whether an order changes nothing and is not counted."""
+        return (
+            order.operation is orders.Operation.UNLOAD
+            and order.key not in self.residents
+        )
+
+    def _loads_too_many(self, order: orders.Order) -> bool:
+        return (
+            order.operation is orders.Operation.LOAD
+            and len(self.loading) >= self.max_loading
+        )
+
     def _carry_out(self, order: orders.Order) -> orders.OrderReply:
         self.accepted += 1
         if order.operation is orders.Operation.LOAD:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
@@ -99,6 +99,14 @@
             len(self.unreported), sum(tokens for _, tokens in self.unreported)
         )
 
+    @property
+    def has_waiting_unload(self) -> bool:
+        """True if an unload waits for the requests of its adapter."""
+        return any(
+            slot.state is SlotState.UNLOADING
+            for slot in self.adapter_slots.values()
+        )
+
     def loading(self, now: float) -> int:
         """Returns the number of loads in flight."""
         return sum(slot.is_loading(now) for slot in self.adapter_slots.values())
@@ -154,10 +162,12 @@
         seconds_to_target: time left until the first event misses the latency
             target.
         max_wait_seconds: maximum time to wait for a slot.
+        node: name of the entry node; empty if no request asks.
     """
 
     key: models.AdapterKey
     version: int
+    node: str = ""
     avoid: frozenset[str] = frozenset()
     absent_from: str = ""
     prompt_tokens: int = 0
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -113,6 +113,7 @@
             prompt_tokens=request.prompt_tokens,
             seconds_to_target=request.target_in_ms / 1000,
             max_wait_seconds=request.patience_ms / 1000,
+            node=request.node,
         )
         try:
             assignment = await self.leader.place(placement_request)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -155,7 +155,7 @@
         if self.candidates_of != pass_key:
             self.candidates_of = pass_key
             self.candidates = self._candidates(request.key.model, now)
-        return self.placement.find(
+        found = self.placement.find(
             request.key,
             request.version,
             self.candidates,
@@ -163,6 +163,9 @@
             prompt_tokens=request.prompt_tokens,
             now=now,
         )
+        if request.node and isinstance(found, adapter_slots_lib.Assignment):
+            self.placement.record_assigned_use(request.node, request.key)
+        return found
 
     def _expected_delay(self, now: float) -> float:
         """Returns the expected seconds from assignment to first event."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -123,6 +123,7 @@
             patience_ms=max(
                 0, round(placement_request.max_wait_seconds * 1000)
             ),
+            node=self.node,
         )
         if self._is_local():
             reply = await self.local.place(request)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
@@ -181,6 +181,8 @@
             stub = fleet_grpc.FleetStub(channel)
             return await grpc_calls.run(stub.RelayLease(call))
     except peer_channels.CALL_ERRORS as error:
-        raise _NoResponseError(f"{peer}: {str(error) or 'timed out'}") from error
+        raise _NoResponseError(
+            f"{peer}: {str(error) or 'timed out'}"
+        ) from error
     finally:
         channel.close()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -183,7 +183,9 @@
             order = orders_lib.Order(
                 orders_lib.Operation.LOAD, key, assignment.version
             )
-            await self._send(state, order)
+            await self._send(
+                state, order, follows_unload=assignment.evict is not None
+            )
             self.placement.confirm_order(
                 assignment.engine_id, key, at=loop.time()
             )
@@ -302,8 +304,24 @@
             raise OrderFailedError(f"adapter {key} is still in use")
 
     async def _send(
-        self, state: EngineOrderState, order: orders_lib.Order
+        self,
+        state: EngineOrderState,
+        order: orders_lib.Order,
+        *,
+        follows_unload: bool = False,
     ) -> orders_lib.OrderReply:
+        """Sends an order until there is a reply.
+
+        Args:
+            state: the engine.
+            order: the order.
+            follows_unload: whether the last accepted order was an unload. The
+                engine does not count it if its adapter was absent already, and
+                its reply does not tell.
+
+        Raises:
+            OrderFailedError: the engine does not carry it out.
+        """
         for attempt in range(MAX_SEND_ATTEMPTS):
             if not self.may_order():
                 raise OrderFailedError("this node may not give orders any more")
@@ -333,7 +351,9 @@
                 # lost reply.
                 return orders_lib.OrderReply.ACCEPTED
             if self._is_adapter_conflict(state, reply, attempt):
-                self._mark_unconfirmed(state, order.key)
+                if follows_unload and await self._send_uncounted(state, order):
+                    return orders_lib.OrderReply.ACCEPTED
+                self._handle_adapter_conflict(state, order)
                 break
             state.needs_refresh = True
             break
@@ -378,6 +398,42 @@
             and state.abandoned_at_count != state.orders_accepted
         )
 
+    async def _send_uncounted(
+        self, state: EngineOrderState, order: orders_lib.Order
+    ) -> bool:
+        """Sends an order as if the unload before it had not been counted.
+
+        Returns:
+            Whether the engine accepted it.
+        """
+        if not self.may_order():
+            return False
+        self.orders_sent += 1
+        state.orders_accepted -= 1
+        try:
+            reply = await self._send_once(state, order)
+        except errors.EngineError as error:
+            self._record_failure(state, order, str(error), 1)
+            state.needs_refresh = True
+            return False
+        state.orders_accepted += 1
+        state.last_order_at = asyncio.get_running_loop().time()
+        if reply is orders_lib.OrderReply.ACCEPTED:
+            state.conflicts = 0
+            return True
+        self._record_failure(state, order, reply.value, 1)
+        return False
+
+    def _handle_adapter_conflict(
+        self, state: EngineOrderState, order: orders_lib.Order
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        is_load = order.operation is orders_lib.Operation.LOAD
+        engine_id = state.entry.engine_id
+        if is_load and self.placement.record_rejected_load(engine_id, now):
+            return
+        self._mark_unconfirmed(state, order.key)
+
     def _mark_unconfirmed(
         self, state: EngineOrderState, key: models.AdapterKey
     ) -> None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -81,6 +81,11 @@
     )
 
 
+def _lost_after_seconds(slot: adapter_slots_lib.AdapterSlot) -> float:
+    """Returns the seconds after which an unfinished load counts as lost."""
+    return LOST_LOAD_FACTOR * slot.expected + LOST_LOAD_MARGIN_SECONDS
+
+
 @final
 class Placement:
     """The adapter slots of all engines that this node gives orders to.
@@ -193,6 +198,18 @@
             for key in uses.keys() & engine.adapter_slots.keys():
                 engine.adapter_slots[key].used_at = now
 
+    def record_assigned_use(self, node: str, key: models.AdapterKey) -> None:
+        """Records that a node is about to use an adapter.
+
+        Load pattern: with hundreds of nodes each reports so rarely that an
+        adapter would be evicted while its first request runs. The node's next
+        report replaces this record.
+        """
+        active = self.active.get(node, frozenset())
+        if key not in active:
+            self.active[node] = active | {key}
+            self.in_use[key] += 1
+
     def drop_node(self, node: str) -> None:
         """Removes a node that has stopped reporting."""
         for key in self.active.pop(node, ()):
@@ -420,14 +437,18 @@
         slot = None if engine is None else engine.adapter_slots.get(key)
         if slot is None or slot.state in adapter_slots_lib.UNSETTLED:
             return
-        elapsed = now - slot.ordered_at
-        lost_after = LOST_LOAD_FACTOR * slot.expected + LOST_LOAD_MARGIN_SECONDS
-        if elapsed > lost_after:
+        if now - slot.ordered_at > _lost_after_seconds(slot):
             # The load may still be executed, so the slot is not free.
             slot.state = adapter_slots_lib.SlotState.UNCONFIRMED
             slot.ready_at = now
             self._record_change(engine_id, key, None, now)
             return
+        self._postpone(slot, now)
+
+    def _postpone(
+        self, slot: adapter_slots_lib.AdapterSlot, now: float
+    ) -> None:
+        """Records that a load has not ended when it was expected to."""
         if now >= slot.ready_at:
             slot.early_requests += 1
         retry_delay = early_retry_delay_seconds(slot.early_requests)
@@ -447,6 +468,38 @@
                 now=now,
             )
 
+    def record_rejected_load(self, engine_id: str, now: float) -> bool:
+        """Records that an engine accepts no further load for now.
+
+        Load pattern: a burst of loads at the weight store, so that each takes
+        longer than estimated. The latest loads of the engine are then still in
+        flight, as many as it allows.
+
+        Returns:
+            False if fewer loads can be in flight, so that the rejection has
+            another cause.
+        """
+        engine = self.engines.get(engine_id)
+        if engine is None:
+            return False
+        latest = [
+            (key, slot)
+            for key, slot in engine.adapter_slots.items()
+            if slot.state is adapter_slots_lib.SlotState.LOADING
+            and slot.ordered_at > 0
+            and now - slot.ordered_at <= _lost_after_seconds(slot)
+        ]
+        latest.sort(key=lambda item: item[1].ordered_at)
+        latest = latest[-MAX_LOADS_IN_FLIGHT:]
+        if len(latest) < MAX_LOADS_IN_FLIGHT:
+            return False
+        for key, slot in latest:
+            if now < slot.ready_at:
+                continue
+            self._postpone(slot, now)
+            self._record_change(engine_id, key, slot.version, slot.ready_at)
+        return True
+
     def changes_since(
         self, number: int
     ) -> list[adapter_slots_lib.SlotChange] | None:
@@ -550,6 +603,10 @@
         if key not in engine.in_memory:
             cost += STORE_LOAD_COST
         outdated = engine.adapter_slots.get(key)
+        if len(engine.adapter_slots) < candidate.capacity and outdated is None:
+            return cost, candidate, None
+        if engine.has_waiting_unload:
+            return None  # it rejects further unloads
         if outdated is not None:
             # An older version is evicted, and the newer one takes its slot.
             if not self._is_evictable(key, outdated, now):
@@ -557,8 +614,6 @@
             return cost, candidate, key
         if len(engine.adapter_slots) > candidate.capacity:
             return None
-        if len(engine.adapter_slots) < candidate.capacity:
-            return cost, candidate, None
         victim = self._next_victim(engine, now)
         if victim is None:
             return None
--- a/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
+++ b/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
@@ -153,9 +153,7 @@
     with socket.socket() as silent:
         silent.bind(("127.0.0.1", 0))
         silent.listen()
-        bench.relayed.peers = lambda: (
-            f"127.0.0.1:{silent.getsockname()[1]}",
-        )
+        bench.relayed.peers = lambda: (f"127.0.0.1:{silent.getsockname()[1]}",)
         with pytest.raises(errors.TableUnavailableError, match="timed out"):
             await bench.relayed.read()
 
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -39,11 +39,16 @@
     may_order: bool = True
 
     def reserve(
-        self, key: models.AdapterKey, now: float, *, version: int = 0
+        self,
+        key: models.AdapterKey,
+        now: float,
+        *,
+        version: int = 0,
+        capacity: int = 1,
     ) -> adapter_slots_lib.Assignment:
         """Reserves a slot for an adapter."""
         candidate = adapter_slots_lib.Candidate(
-            "e1", 1, 8, engines_lib.Work(), 0.0
+            "e1", capacity, 8, engines_lib.Work(), 0.0
         )
         assignment = self.placement.find(
             key, version, [candidate], avoid=(), prompt_tokens=0, now=now
@@ -330,3 +335,62 @@
     bench.engine.accepted = accepted
     await bench.loader.load_model("e1", "base")
     assert bench.engine.sent == ([("model", MODEL, 0)] if ordered else [])
+
+
+async def test_unload_of_an_absent_adapter_does_not_count(
+    bench: Bench,
+) -> None:
+    """Regression: the load after it was rejected, as were the next orders.
+
+    An unload that had waited for requests was over before the report that still
+    listed its adapter was read. Unloaded again, the engine replied as usual but
+    did not count the order.
+    """
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    bench.engine.residents.clear()
+    assignment = bench.reserve(OTHER, 1e9)
+    assert assignment.evict == KEY
+    await bench.loader.load(assignment, OTHER)
+    state = bench.loader.order_states["e1"]
+    assert state.orders_accepted == bench.engine.accepted == 2
+    assert bench.engine.residents == {OTHER}
+    assert not state.needs_refresh
+
+
+async def test_other_conflict_after_an_unload_is_tried_once_more_only(
+    bench: Bench,
+) -> None:
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    bench.engine.blocked.add(OTHER)
+    assignment = bench.reserve(OTHER, 1e9)
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(assignment, OTHER)
+    assert [count for _, _, count in bench.engine.sent] == [0, 1, 2, 1]
+    assert bench.loader.order_states["e1"].orders_accepted == 2
+
+
+async def test_order_beside_late_loads_keeps_the_engine_usable(
+    bench: Bench,
+) -> None:
+    """Regression: rejected loads took a slot each, then the state was read.
+
+    Load pattern: the weight store is overloaded, so that loads take longer than
+    estimated. The engine has as many in flight as it allows and rejects one
+    more until one of them has ended.
+    """
+    await bench.loader.read_state(ENTRY, capacity=6)
+    keys = [models.AdapterKey("base", f"b{number}") for number in range(4)]
+    for key in keys:
+        await bench.loader.load(bench.reserve(key, 0.0, capacity=6), key)
+    bench.engine.loading.update(keys)
+    engine = bench.placement.engines["e1"]
+    now = asyncio.get_running_loop().time()
+    for key in keys:
+        engine.adapter_slots[key].ready_at = now
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(bench.reserve(KEY, now, capacity=6), KEY)
+    bench.placement.cancel_reservation("e1", KEY, now)
+    assert engine.adapter_slots.keys() == set(keys)
+    assert engine.loading(asyncio.get_running_loop().time()) == 4
+    state = bench.loader.order_states["e1"]
+    assert (state.conflicts, state.needs_refresh) == (0, False)
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -677,3 +677,49 @@
     )
     assert isinstance(assignment, adapter_slots_lib.Assignment)
     assert assignment.engine_id == engine_id
+
+
+def test_nothing_is_evicted_beside_an_unload_that_waits() -> None:
+    """Regression: the orders were rejected and their requests delayed.
+
+    Load pattern: all slots are taken, and the evicted adapter turns out to be
+    in use. The engine rejects further unloads until its requests have ended.
+    """
+    placement = make_placement("e1", "e2")
+    for number in range(CAPACITY):
+        load(placement, number, "e1", 0.0)
+        load(placement, 10 + number, "e2", 0.0)
+    assignment = find(placement, 20, candidate("e1"), now=9.0)
+    assert isinstance(assignment, adapter_slots_lib.Assignment)
+    assert assignment.evict is not None
+    placement.cancel_reservation("e1", key(20), 9.0)
+    placement.record_unloading("e1", assignment.evict, 9.0)
+    other = find(
+        placement, 21, candidate("e1"), candidate("e2", running=4), now=9.1
+    )
+    assert isinstance(other, adapter_slots_lib.Assignment)
+    assert other.engine_id == "e2"
+    placement.reconcile("e1", {}, (), before=9.5, now=9.8)
+    third = find(placement, 22, candidate("e1"), now=9.8)
+    assert isinstance(third, adapter_slots_lib.Assignment)
+
+
+def test_assigned_adapter_is_kept_until_its_node_reports() -> None:
+    """Regression: it was evicted while its first request ran.
+
+    Load pattern: hundreds of nodes, which report their use every second or
+    less often, while adapter slots are short.
+    """
+    placement = make_placement("e1")
+    for number in range(CAPACITY):
+        load(placement, number, "e1", 0.0)
+        placement.record_assigned_use("n1", key(number))
+    at = 5.0
+    no_slot = adapter_slots_lib.NoFreeSlot()
+    assert find(placement, 9, candidate("e1"), now=at) == no_slot
+    placement.record_node_use("n2", {}, {}, at)
+    assert find(placement, 9, candidate("e1"), now=at + 0.1) == no_slot
+    placement.record_node_use("n1", {key(0): 1, key(1): 1}, {}, at)
+    found = find(placement, 9, candidate("e1"), now=at + 0.2)
+    assert isinstance(found, adapter_slots_lib.Assignment)
+    assert found.evict == key(2)
