An assignment protects an adapter only while its node reports

Found by reading: an assignment to a node that had been dropped as silent stayed as use for ever, since only the node's next report, or its drop, ends it. Its adapter could not be evicted any more until the leader changed. Now nothing is recorded for a node without reports. test_assignment_to_a_node_that_does_not_report_keeps_nothing failed before.

Also there: the second try of a load after an uncounted unload, when its reply is lost, may be executed late; it is remembered as any other such order is (test_order_that_may_be_executed_late_is_remembered failed before).

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -414,6 +414,8 @@
             reply = await self._send_once(state, order)
         except errors.EngineError as error:
             self._record_failure(state, order, str(error), 1)
+            # It may still be executed, at this count.
+            state.abandoned_at_count = state.orders_accepted
             state.needs_refresh = True
             return False
         state.orders_accepted += 1
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -203,10 +203,11 @@
 
         Load pattern: with hundreds of nodes each reports so rarely that an
         adapter would be evicted while its first request runs. The node's next
-        report replaces this record.
+        report replaces this record. A node that does not report leaves none,
+        since nothing would end it.
         """
-        active = self.active.get(node, frozenset())
-        if key not in active:
+        active = self.active.get(node)
+        if active is not None and key not in active:
             self.active[node] = active | {key}
             self.in_use[key] += 1
 
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -394,3 +394,32 @@
     assert engine.loading(asyncio.get_running_loop().time()) == 4
     state = bench.loader.order_states["e1"]
     assert (state.conflicts, state.needs_refresh) == (0, False)
+
+
+async def test_order_that_may_be_executed_late_is_remembered(
+    bench: Bench,
+) -> None:
+    """A later conflict may then concern the count of orders."""
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    bench.engine.residents.clear()
+    original = bench.engine.send
+
+    async def lose_the_second_load(
+        entry: models.EngineEntry,
+        order: orders.Order,
+        *,
+        orders_accepted: int,
+        token: int,
+    ) -> orders.OrderReply:
+        if len(bench.engine.sent) == 3:
+            bench.engine.lose.append(False)
+        return await original(
+            entry, order, orders_accepted=orders_accepted, token=token
+        )
+
+    bench.engine.send = lose_the_second_load  # type: ignore
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(bench.reserve(OTHER, 1e9), OTHER)
+    state = bench.loader.order_states["e1"]
+    assert state.needs_refresh
+    assert state.abandoned_at_count == state.orders_accepted == 1
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -711,6 +711,7 @@
     less often, while adapter slots are short.
     """
     placement = make_placement("e1")
+    placement.record_node_use("n1", {}, {}, 0.0)
     for number in range(CAPACITY):
         load(placement, number, "e1", 0.0)
         placement.record_assigned_use("n1", key(number))
@@ -723,3 +724,13 @@
     found = find(placement, 9, candidate("e1"), now=at + 0.2)
     assert isinstance(found, adapter_slots_lib.Assignment)
     assert found.evict == key(2)
+
+
+def test_assignment_to_a_node_that_does_not_report_keeps_nothing() -> None:
+    """Guards against adapters that stay in use after their node is gone."""
+    placement = make_placement("e1")
+    placement.record_node_use("n1", {}, {}, 0.0)
+    load(placement, 0, "e1", 0.0)
+    placement.drop_node("n1")
+    placement.record_assigned_use("n1", key(0))
+    assert not placement.in_use
