--- a/packages/dogwoodhinge/testing/fleet/test_table_updates.py
+++ b/packages/dogwoodhinge/testing/fleet/test_table_updates.py
@@ -27,25 +27,29 @@
 
 
 @pytest.mark.parametrize(
-    ("revision", "age", "leading", "covered"),
+    ("revision", "age", "leading", "cause"),
     [
-        (5, 0.2, False, True),
-        (6, 0.2, False, False),
-        (5, OLD, False, False),
-        (5, 0.2, True, False),
+        (5, 0.2, False, None),
+        (6, 0.2, False, table_updates.ReadCause.BEHIND),
+        (5, OLD, False, table_updates.ReadCause.OUTDATED),
+        (5, 0.2, True, table_updates.ReadCause.LEADER),
     ],
     ids=["covered", "change_missing", "update_too_old", "is_the_leader"],
 )
 def test_recent_update_from_the_leader_covers_a_table(
-    revision: int, age: float, leading: bool, covered: bool
+    revision: int,
+    age: float,
+    leading: bool,
+    cause: table_updates.ReadCause | None,
 ) -> None:
     known = follower(leading=leading)
     known.apply_update(TABLE, revision, 10.0, None)
-    assert (known.read_cause(TABLE, 10.0 + age) is None) is covered
+    assert known.read_cause(TABLE, 10.0 + age) is cause
 
 
 def test_table_without_an_update_from_the_leader_is_not_covered() -> None:
-    assert follower().read_cause(TABLE, 0.0) is not None
+    cause = follower().read_cause(TABLE, 0.0)
+    assert cause is table_updates.ReadCause.FIRST
 
 
 def test_table_that_was_never_read_is_not_covered() -> None:
@@ -53,7 +57,7 @@
         is_leader=lambda: False, known_within=lambda: KNOWN_WITHIN
     )
     known.apply_update(TABLE, 5, 10.0, [])
-    assert known.read_cause(TABLE, 10.0) is not None
+    assert known.read_cause(TABLE, 10.0) is table_updates.ReadCause.FIRST
 
 
 def test_response_without_relevant_changes_keeps_the_revision() -> None:
