--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/dispatch_node.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/dispatch_node.py
@@ -6,11 +6,14 @@
 from _dogwoodhinge import decisions as decisions_lib
 from _dogwoodhinge import settings as settings_lib
 from _dogwoodhinge.dispatch import admission as admission_lib
+from _dogwoodhinge.dispatch import crash_decisions
 from _dogwoodhinge.dispatch import generations as generations_lib
 from _dogwoodhinge.dispatch import grants as grants_lib
 from _dogwoodhinge.dispatch import intents as intents_lib
 from _dogwoodhinge.dispatch import plain_calls as plain_calls_lib
-from _dogwoodhinge.dispatch import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import broadcast
+from _dogwoodhinge.quarantine import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import rules as quarantine_rules
 from dogwoodhinge import models
 from dogwoodhinge import ports
 from dogwoodhinge_lab import dispatch_fakes
@@ -88,10 +91,15 @@
     )
     quarantine = quarantine_lib.Quarantine(
         table=table,
-        membership=cluster,
-        peer_client=cluster,
+        policy=quarantine_rules.OWNED_ENGINES,
         clock=clock,
-        decisions=decisions,
+        report=crash_decisions.CrashDecisions(decisions),
+        report_event=crash_decisions.log_event,
+        broadcaster=broadcast.QuarantineBroadcaster(
+            membership=cluster,
+            peer_client=cluster,
+            clock=clock,
+        ),
     )
     intents = intents_lib.Intents(
         table=table, membership=cluster, clock=clock, settings=settings
--- a/packages/dogwoodhinge/src/_dogwoodhinge/components.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/components.py
@@ -14,11 +14,11 @@
 from _dogwoodhinge.config import log as config_log
 from _dogwoodhinge.config import view as config_view
 from _dogwoodhinge.dispatch import admission as admission_lib
+from _dogwoodhinge.dispatch import crash_decisions
 from _dogwoodhinge.dispatch import generations as generations_lib
 from _dogwoodhinge.dispatch import grants as grants_lib
 from _dogwoodhinge.dispatch import intents as intents_lib
 from _dogwoodhinge.dispatch import plain_calls as plain_calls_lib
-from _dogwoodhinge.dispatch import quarantine as quarantine_lib
 from _dogwoodhinge.engine_scheduling import registry as registry_lib
 from _dogwoodhinge.limits import load_permits
 from _dogwoodhinge.limits import permit_home
@@ -30,6 +30,9 @@
 from _dogwoodhinge.membership import sessions
 from _dogwoodhinge.ownership import ownership as ownership_lib
 from _dogwoodhinge.peer import client as peer_client
+from _dogwoodhinge.quarantine import broadcast
+from _dogwoodhinge.quarantine import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import rules as quarantine_rules
 from _dogwoodhinge.routing import router as router_lib
 from dogwoodhinge import models
 from dogwoodhinge import ports
@@ -223,10 +226,15 @@
     def _build_dispatch(self) -> None:
         self.quarantine = quarantine_lib.Quarantine(
             table=self.platform.table,
-            membership=self.membership,
-            peer_client=self.peer_client,
+            policy=quarantine_rules.OWNED_ENGINES,
             clock=self.clock,
-            decisions=self.decisions,
+            report=crash_decisions.CrashDecisions(self.decisions),
+            report_event=crash_decisions.log_event,
+            broadcaster=broadcast.QuarantineBroadcaster(
+                membership=self.membership,
+                peer_client=self.peer_client,
+                clock=self.clock,
+            ),
         )
         self.generations = generations_lib.Generations(
             admission=self.admission,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/generations.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/generations.py
@@ -18,8 +18,8 @@
 from _dogwoodhinge.dispatch import errors as dispatch_errors
 from _dogwoodhinge.dispatch import generation_requests
 from _dogwoodhinge.dispatch import grants as grants_lib
-from _dogwoodhinge.dispatch import quarantine as quarantine_lib
 from _dogwoodhinge.peer import peer_pb2
+from _dogwoodhinge.quarantine import quarantine as quarantine_lib
 from dogwoodhinge import errors as public_errors
 from dogwoodhinge import models
 from dogwoodhinge import ports
--- a/packages/dogwoodhinge/src/_dogwoodhinge/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/errors.py
@@ -78,7 +78,20 @@
 
 
 class QuarantinedError(AdmissionError):
-    """The request is quarantined because it crashes engines."""
+    """The request is quarantined because it crashes engines.
+
+    Attributes:
+        retry_after: time until the request is accepted again, unchanged.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after: datetime.timedelta = datetime.timedelta(0),
+    ) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
 
 
 class DispatchError(NodeError):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -18,6 +18,8 @@
 from _dogwoodhinge.fleet import placement_queue
 from _dogwoodhinge.fleet import table_updates as table_updates_lib
 from _dogwoodhinge.fleet import usage as usage_lib
+from _dogwoodhinge.quarantine import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import records as quarantine_records
 
 PlacementStream: TypeAlias = grpc_server.Stream[
     fleet_pb2.PlaceRequest, fleet_pb2.PlaceReply
@@ -49,7 +51,9 @@
         lease_table: order_lease.LeaseTable,
         updates: table_updates_lib.TableUpdates,
         announcements: announcements_lib.Announcements,
+        quarantine: quarantine_lib.Quarantine,
     ) -> None:
+        self.quarantine = quarantine
         self.leader = leader
         self.lease_table = lease_table
         self.updates = updates
@@ -187,6 +191,7 @@
             return fleet_pb2.SyncReply(not_owner=True)
         now = asyncio.get_running_loop().time()
         self.record_leaving(request.leaving)
+        self.receive_quarantine(request.quarantine, write=True)
         placement = self.leader.placement
         token = self.leader.lease.token
         changes = None
@@ -216,6 +221,7 @@
                 {n.table: n.revision for n in request.known}
             ),
             leaving=encode_leaving(self.leader.directory),
+            quarantine=self.encode_quarantine(),
         )
 
     def record_leaving(
@@ -228,6 +234,27 @@
                 source=announcements_lib.Source.PEER,
             )
 
+    def encode_quarantine(self) -> list[fleet_pb2.TableRow]:
+        """Returns the quarantine's records that this node has not written."""
+        return [
+            fleet_pb2.TableRow(
+                key=record.fingerprint, value=quarantine_records.encode(record)
+            )
+            for record in self.quarantine.unwritten()
+        ]
+
+    def receive_quarantine(
+        self, rows: Iterable[fleet_pb2.TableRow], *, write: bool
+    ) -> None:
+        """Applies the quarantine's records that a peer has not written.
+
+        Args:
+            rows: the records.
+            write: whether to write them from here.
+        """
+        for row in rows:
+            self.quarantine.receive(row.key, row.value, write=write)
+
     def _encode_updates(
         self, known: dict[str, int]
     ) -> list[fleet_pb2.TableNews]:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -219,6 +219,7 @@
         request.token = self.known_token
         request.known_change = self.known_change
         request.leaving.extend(fleet_server.encode_leaving(self.directory))
+        request.quarantine.extend(self.local.encode_quarantine())
         request.known.extend(
             fleet_pb2.TableNews(table=table, revision=revision)
             for table, revision in self.local.updates.applied.items()
@@ -260,6 +261,7 @@
             for engine in self.directory.engines.values():
                 engine.held_adapters = {}
         self.local.record_leaving(reply.leaving)
+        self.local.receive_quarantine(reply.quarantine, write=False)
         for change in reply.changes:
             key = models.AdapterKey(change.model, change.adapter)
             if change.gone:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import datetime
+import functools
 from typing import final
 
 from _dogwoodhinge.fleet import models
+from _dogwoodhinge.gateway import content
 from _dogwoodhinge.gateway import pause_queue
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
@@ -50,6 +52,7 @@
         engine_connection: what ended the connection of the last response;
             empty if it was open when the response ended.
         found_by: how the engine was selected; see `EngineSelection`.
+        claims: number of claims that it has asked for; see `suspects`.
     """
 
     def __init__(
@@ -85,6 +88,12 @@
         self.engine_connection = ""
         self.found_by = ""
         self.adapter_version = 0
+        self.claims = 0
+
+    @functools.cached_property
+    def fingerprints(self) -> tuple[str, ...]:
+        """What identifies the request when it is sent again."""
+        return content.fingerprints(self.request)
 
     def time_left(self) -> float:
         """Returns the seconds until the deadline."""
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_ends.py
@@ -0,0 +1,108 @@
+"""Tells the end of an engine from the end of a connection to it.
+
+Load patterns: engines that reset single connections, lose answers or break them
+off, and links that are cut or reset, while the engine runs on; engines that
+leave as planned. None of these shows that the engine has ended. It has if it
+closed the connection with a request in flight and now refuses connections.
+"""
+
+import asyncio
+import datetime
+import enum
+from typing import final
+
+from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.gateway import sender as sender_lib
+from _dogwoodhinge.http1 import connection as connection_lib
+from _dogwoodhinge.http1 import errors as http_errors
+
+# The connections of an engine that ends are lost within this time of each
+# other.
+CONNECTIONS_END_WITHIN = datetime.timedelta(milliseconds=3)
+
+# An engine that is just ending may still accept a connection, which it then
+# loses within this time.
+SECOND_LOOK_DELAY = datetime.timedelta(milliseconds=60)
+MAX_LOOKS = 3
+
+# A request that may be retried waits this long for the result.
+MAX_WAIT = datetime.timedelta(milliseconds=40)
+
+Incarnation = tuple[str, int]
+
+
+class EngineState(enum.Enum):
+    """What a look at an engine shows."""
+
+    ENDED = "ended"
+    RUNS = "runs"
+    UNKNOWN = "unknown"  # no response
+
+
+@final
+class EngineEnds:
+    """Looks at engines that have ended a connection.
+
+    Attributes:
+        looks: the looks in progress, and those of engines that have ended, by
+            incarnation.
+    """
+
+    def __init__(self, sender: sender_lib.Sender) -> None:
+        self.sender = sender
+        self.looks: dict[Incarnation, asyncio.Task[EngineState]] = {}
+
+    def look(self, engine: engines_lib.Engine) -> asyncio.Task[EngineState]:
+        """Starts to find out whether an engine has ended."""
+        incarnation = engine.entry.incarnation
+        found = self.looks.get(incarnation)
+        if found is None:
+            found = asyncio.ensure_future(self._look(engine))
+            self.looks[incarnation] = found
+            found.add_done_callback(
+                lambda look: self._finish(incarnation, look)
+            )
+        return found
+
+    def forget(self, engine: engines_lib.Engine) -> None:
+        """Forgets an engine that is gone."""
+        look = self.looks.get(engine.entry.incarnation)
+        if look is not None and look.done():
+            del self.looks[engine.entry.incarnation]
+
+    def _finish(
+        self, incarnation: Incarnation, look: asyncio.Task[EngineState]
+    ) -> None:
+        if look.cancelled() or look.result() is not EngineState.ENDED:
+            del self.looks[incarnation]
+
+    async def _look(self, engine: engines_lib.Engine) -> EngineState:
+        if not engine.accepts_requests:
+            return EngineState.RUNS  # it leaves as planned
+        pool = self.sender.pool(engine)
+        for _ in range(MAX_LOOKS):
+            await asyncio.sleep(CONNECTIONS_END_WITHIN.total_seconds())
+            if pool.has_open_connection:
+                return EngineState.RUNS
+            try:
+                opened = await pool.probe()
+            except http_errors.ConnectError as error:
+                if not error.refused:
+                    return EngineState.UNKNOWN
+                return (
+                    EngineState.ENDED
+                    if engine.accepts_requests
+                    else EngineState.RUNS
+                )
+            if await _stays_open(opened):
+                return EngineState.RUNS
+        return EngineState.UNKNOWN
+
+
+async def _stays_open(connection: connection_lib.Connection) -> bool:
+    try:
+        async with asyncio.timeout(SECOND_LOOK_DELAY.total_seconds()):
+            await connection.lost.wait()
+    except TimeoutError:
+        return True
+    return False
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
@@ -43,9 +43,11 @@
     Attributes:
         engine_end: short name for logs. It starts with `left_` if this node
             stopped waiting while the engine's connection was open.
+        ended_by_engine: whether the engine closed or reset the connection.
     """
 
     engine_end: ClassVar[str] = "no_valid_response"
+    ended_by_engine = False
 
 
 class RequestRejectedError(GatewayError):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -18,6 +18,7 @@
 from _dogwoodhinge.gateway import request_metrics as request_metrics_lib
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import streams as streams_lib
+from _dogwoodhinge.gateway import suspects as suspects_lib
 from _dogwoodhinge.http1 import errors as http_errors
 from _dogwoodhinge.http1 import server
 
@@ -57,7 +58,9 @@
         events: event_log.Events,
         request_metrics: request_metrics_lib.RequestMetrics,
         rng: random.Random,
+        suspects: suspects_lib.Suspects,
     ) -> None:
+        self.suspects = suspects
         self.codec = codec
         self.configuration = configuration
         self.plain = plain
@@ -173,6 +176,7 @@
                 raise errors.RequestRejectedError(
                     "shutdown_unsent", retry_after=datetime.timedelta(0)
                 )
+            self.suspects.check(call)
             async with timeout:
                 if call.request.adapter is None:
                     await self.plain.forward(call, reply)
@@ -285,6 +289,7 @@
         )
         fields: dict[str, object] = {
             "request": call.request.request_id,
+            "content": call.fingerprints[0],
             "route": call.route.name,
             "service": call.service,
             "config": call.config_version,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -27,6 +27,7 @@
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import sender as sender_lib
+from _dogwoodhinge.gateway import suspects as suspects_lib
 from _dogwoodhinge.http1 import server
 
 # Longer responses are forwarded while they arrive.
@@ -48,17 +49,22 @@
     """A response whose beginning, or whole, has been read.
 
     Attributes:
-        engine: the endpoint.
+        run: the send that it responds to.
         response: the response.
         parts: what has been read of the body.
         rest: what has not been read.
     """
 
-    engine: engines_lib.Engine
+    run: suspects_lib.Run
     response: sender_lib.OpenResponse
     parts: list[bytes]
     rest: AsyncIterator[bytes]
 
+    @property
+    def engine(self) -> engines_lib.Engine:
+        """The endpoint."""
+        return self.run.engine
+
     @property
     def failed(self) -> bool:
         """True if the endpoint responded with a server error."""
@@ -105,8 +111,10 @@
         pause_queue: pause_queue_lib.PauseQueue,
         zone: str,
         rng: random.Random,
+        suspects: suspects_lib.Suspects,
     ) -> None:
         self.sender = sender
+        self.suspects = suspects
         self.directory = directory
         self.budget = budget
         self.pause_queue = pause_queue
@@ -155,9 +163,23 @@
                 engine = await self._next_endpoint(
                     call, may_wait=not attempts and failure is None
                 )
+            run = None
             if engine is not None:
-                call.tried_engines.append(engine.engine_id)
-                attempts.append(Attempt(engine, self._fetch_from(call, engine)))
+                try:
+                    run = await self.suspects.begin(call, engine)
+                except errors.NotRunError as reserved:
+                    call.add_step(f"not_run {engine.engine_id}: {reserved}")
+                    call.unreachable_engines.add(engine.engine_id)
+                    error = error or reserved
+                    continue
+                except errors.RequestRejectedError as rejection:
+                    error = rejection
+                    may_send = False
+            if run is not None:
+                call.tried_engines.append(run.engine.engine_id)
+                attempts.append(
+                    Attempt(run.engine, self._fetch_from(call, run))
+                )
             elif not attempts:
                 if failure is not None:
                     return failure
@@ -327,9 +349,22 @@
         )
 
     async def _fetch_from(
-        self, call: call_lib.Call, engine: engines_lib.Engine
+        self, call: call_lib.Call, run: suspects_lib.Run
     ) -> FetchedResponse:
         """Sends the request to an endpoint and buffers its response."""
+        try:
+            fetched = await self._exchange(call, run)
+        except BaseException as error:
+            await self.suspects.record_failure(call, run, error)
+            raise
+        if fetched.response.complete:
+            self._record_response(call, fetched)
+        return fetched
+
+    async def _exchange(
+        self, call: call_lib.Call, run: suspects_lib.Run
+    ) -> FetchedResponse:
+        engine = run.engine
         try:
             response = await self.sender.open(
                 engine,
@@ -342,8 +377,10 @@
             )
             try:
                 check_response(response.head)
-                fetched = await _read_beginning(engine, response)
-            except BaseException:
+                fetched = await _read_beginning(run, response)
+            except BaseException as error:
+                if isinstance(error, errors.OutcomeUnknownError):
+                    error.ended_by_engine = response.ended_by_engine
                 call.record_response_end(response.framing, response.connection)
                 response.close()
                 raise
@@ -353,9 +390,22 @@
             raise
         if response.complete:
             call.record_response_end(response.framing, response.connection)
-            _record_response(fetched)
         return fetched
 
+    def _record_response(
+        self, call: call_lib.Call, fetched: FetchedResponse
+    ) -> None:
+        """Records a complete response in the state of its endpoint."""
+        now = asyncio.get_running_loop().time()
+        health = fetched.engine.health
+        if fetched.failed:
+            health.record_failure(health_lib.Failure.ERROR, now)
+        else:
+            health.record_success(now)
+        self.suspects.record_response(
+            call, fetched.run, succeeded=not fetched.failed
+        )
+
     async def _relay(
         self,
         call: call_lib.Call,
@@ -374,15 +424,19 @@
             try:
                 async for chunk in fetched.rest:
                     await reply.write(chunk)
-            except errors.GatewayError as error:
-                now = asyncio.get_running_loop().time()
-                sender_lib.record_failure(fetched.engine, error, now)
+            except BaseException as error:
+                if isinstance(error, errors.GatewayError):
+                    now = asyncio.get_running_loop().time()
+                    sender_lib.record_failure(fetched.engine, error, now)
+                if isinstance(error, errors.OutcomeUnknownError):
+                    error.ended_by_engine = fetched.response.ended_by_engine
+                await self.suspects.record_failure(call, fetched.run, error)
                 raise
             finally:
                 call.record_response_end(
                     fetched.response.framing, fetched.response.connection
                 )
-            _record_response(fetched)
+            self._record_response(call, fetched)
         reply.finish()
 
     def _begin(
@@ -401,7 +455,7 @@
 
 
 async def _read_beginning(
-    engine: engines_lib.Engine, response: sender_lib.OpenResponse
+    run: suspects_lib.Run, response: sender_lib.OpenResponse
 ) -> FetchedResponse:
     """Reads a response until it ends or exceeds the buffer."""
     rest = response.chunks()
@@ -412,16 +466,7 @@
         size += len(chunk)
         if size > MAX_BUFFERED_RESPONSE_BYTES:
             break
-    return FetchedResponse(engine, response, parts, rest)
-
-
-def _record_response(fetched: FetchedResponse) -> None:
-    """Records a complete response in the health of its endpoint."""
-    now = asyncio.get_running_loop().time()
-    if fetched.failed:
-        fetched.engine.health.record_failure(health_lib.Failure.ERROR, now)
-    else:
-        fetched.engine.health.record_success(now)
+    return FetchedResponse(run, response, parts, rest)
 
 
 def _rejection(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -71,6 +71,9 @@
 
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
+# Ends of a connection that come from the engine's host.
+ENDED_BY_ENGINE = frozenset({"peer_closed", "peer_reset"})
+
 
 class IncompleteResponseError(errors.OutcomeUnknownError):
     """A response ended before it was complete."""
@@ -366,6 +369,11 @@
                 self.end = ResponseEnd.BROKE_OFF
                 raise IncompleteResponseError("the response ended early")
 
+    @property
+    def ended_by_engine(self) -> bool:
+        """True if the engine has closed or reset the connection."""
+        return self.connection.end_reason in ENDED_BY_ENGINE
+
     def close(self) -> None:
         """Returns the connection to the pool if the response is complete."""
         self.ends[self.framing, self.end] += 1
@@ -455,7 +463,9 @@
                 prepare_switch,
                 repeatable=repeatable,
             )
-        except BaseException:
+        except BaseException as error:
+            if isinstance(error, errors.OutcomeUnknownError):
+                error.ended_by_engine = connection.end_reason in ENDED_BY_ENGINE
             if connection in engine_connections.pool.in_use:
                 engine_connections.pool.discard(connection)
             raise
@@ -481,6 +491,11 @@
         backlog = engine_selection.prefill_backlog_seconds(engine.work)
         return silence > SILENCE_TIMEOUT.total_seconds() + backlog
 
+    def pool(self, engine: engines_lib.Engine) -> pool_lib.ConnectionPool:
+        """Returns the connections to an engine."""
+        now = asyncio.get_running_loop().time()
+        return self._engine_connections(engine, now).pool
+
     def remove_engine(self, engine: engines_lib.Engine) -> None:
         """Closes the idle connections to an engine that is gone."""
         engine_connections = self.connections_by_engine.pop(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -24,6 +24,7 @@
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import sender as sender_lib
+from _dogwoodhinge.gateway import suspects as suspects_lib
 from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import server
 
@@ -77,8 +78,10 @@
         engine_finder: engine_finder_lib.EngineFinder,
         budget: retry_budget_lib.RetryBudget,
         prefill_pacing: prefill_pacing_lib.PrefillPacing,
+        suspects: suspects_lib.Suspects,
     ) -> None:
         self.sender = sender
+        self.suspects = suspects
         self.prefill_pacing = prefill_pacing
         self.engine_finder = engine_finder
         self.budget = budget
@@ -282,6 +285,29 @@
         relay: "Relay",
         selection: engine_finder_lib.EngineSelection,
     ) -> None:
+        engine_id = selection.engine.engine_id
+        call.tried_engines.append(engine_id)
+        try:
+            run = await self.suspects.begin(call, selection.engine)
+        except errors.RequestRejectedError:
+            call.forget_try(engine_id)
+            raise
+        try:
+            response = await self._exchange(call, relay, selection)
+        except BaseException as error:
+            await self.suspects.record_failure(call, run, error)
+            raise
+        self.suspects.record_response(
+            call, run, succeeded=response.head.status < 500
+        )
+
+    async def _exchange(
+        self,
+        call: call_lib.Call,
+        relay: "Relay",
+        selection: engine_finder_lib.EngineSelection,
+    ) -> sender_lib.OpenResponse:
+        """Sends the request to an engine and forwards its whole response."""
         engine = selection.engine
         loop = asyncio.get_running_loop()
         prepare_switch = None
@@ -292,7 +318,6 @@
         unread_prompt = UnreadPrompt(engine, call.request.prompt_tokens)
         call.found_by = selection.found_by
         call.adapter_version = selection.version or 0
-        call.tried_engines.append(engine.engine_id)
         engine.running += 1
         try:
             await self.prefill_pacing.wait_for_turn(
@@ -327,6 +352,9 @@
                 await relay.relay_response(
                     response, prepare_switch=prepare_switch
                 )
+            except errors.OutcomeUnknownError as error:
+                error.ended_by_engine = response.ended_by_engine
+                raise
             finally:
                 call.record_response_end(response.framing, response.connection)
                 response.close()
@@ -336,6 +364,7 @@
                 )
             else:
                 engine.health.record_success(loop.time())
+            return response
         except errors.GatewayError as error:
             sender_lib.record_failure(
                 engine,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/errors.py
@@ -8,7 +8,15 @@
 
 
 class ConnectError(HttpError):
-    """No connection could be opened; nothing was sent."""
+    """No connection could be opened; nothing was sent.
+
+    Attributes:
+        refused: whether nothing listens at the address.
+    """
+
+    def __init__(self, message: str, *, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
 
 
 class ConnectionLostError(HttpError):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -83,6 +83,30 @@
         self.in_use.add(new_connection)
         return new_connection
 
+    @property
+    def has_open_connection(self) -> bool:
+        """True if the endpoint has not ended all connections."""
+        return any(
+            not connection.lost.is_set()
+            for connection in (*self.in_use, *self.idle)
+        )
+
+    async def probe(self) -> connection_lib.Connection:
+        """Opens a connection and keeps it for the next request.
+
+        Raises:
+            ConnectError: no connection could be opened.
+        """
+        self.connecting += 1
+        try:
+            new_connection = await self._open()
+        finally:
+            self.connecting -= 1
+        new_connection.idle_since = asyncio.get_running_loop().time()
+        new_connection.pooled = True
+        self.idle.append(new_connection)
+        return new_connection
+
     def release(self, connection: connection_lib.Connection) -> None:
         """Returns a connection to the pool, or closes it if it is unusable."""
         self.in_use.discard(connection)
@@ -155,6 +179,7 @@
             # The latter two mean that no such address can exist.
             raise errors.ConnectError(
                 f"could not connect to {self.host}:{self.port}: "
-                f"{str(error) or 'timed out'}"
+                f"{str(error) or 'timed out'}",
+                refused=isinstance(error, ConnectionRefusedError),
             ) from error
         return new_connection
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -66,6 +66,8 @@
         headers: names and values, as sent and in order.
         body: the complete body, without transfer coding.
         received_at: loop time at which the head was read.
+        caller_address: IP address that the connection comes from; empty if
+            unknown.
     """
 
     method: bytes
@@ -73,6 +75,7 @@
     headers: tuple[Header, ...]
     body: bytes
     received_at: float
+    caller_address: str = ""
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header; `name` is in lower case."""
@@ -167,6 +170,13 @@
         return _connection_fields(self.connection)
 
 
+def _caller_address(connection: connection_lib.Connection) -> str:
+    if connection.transport is None:
+        return ""
+    peer = connection.transport.get_extra_info("peername")
+    return peer[0] if peer else ""
+
+
 def _connection_fields(
     connection: connection_lib.Connection,
 ) -> dict[str, object]:
@@ -483,6 +493,7 @@
             ),
             body=body,
             received_at=received_at,
+            caller_address=_caller_address(connection),
         )
 
     async def _read_head(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/peer/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/peer/server.py
@@ -96,7 +96,7 @@
 
 
 class ConvictionHandler(Protocol):
-    """Requests that crash engines; implemented by `dispatch.quarantine`."""
+    """Requests that crash engines; implemented by `quarantine.quarantine`."""
 
     async def receive_conviction(self, conviction: peer_pb2.Conviction) -> None:
         """Handles the quarantine record of a suspect or convicted request."""
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps requests that crash engines from being sent to further ones."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/quarantine_broadcast.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/broadcast.py
@@ -6,8 +6,9 @@
 
 from _dogwoodhinge import errors
 from _dogwoodhinge.dispatch import collaborators
-from _dogwoodhinge.dispatch import quarantine_records as records
 from _dogwoodhinge.peer import peer_pb2
+from _dogwoodhinge.quarantine import records
+from dogwoodhinge import ports
 
 SEND_TIMEOUT = datetime.timedelta(seconds=1)
 MAX_CONCURRENT_SENDS = 32
@@ -29,9 +30,11 @@
         *,
         membership: collaborators.Membership,
         peer_client: collaborators.PeerClient,
+        clock: ports.Clock,
     ) -> None:
         self.membership = membership
         self.peer_client = peer_client
+        self.clock = clock
         self.suspect_count = 0
 
     def reset_suspect_limit(self) -> None:
@@ -53,7 +56,9 @@
             fingerprint=record.fingerprint,
             customer=record.customer,
             engine_id=record.engine_id,
-            convicted_at_ms=record.crashed_at_ms if convicted else 0,
+            convicted_at_ms=int(self.clock.now().timestamp() * 1_000)
+            if convicted
+            else 0,
         )
         semaphore = asyncio.Semaphore(MAX_CONCURRENT_SENDS)
         await asyncio.gather(
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -0,0 +1,880 @@
+"""Keeps requests that crash engines from crashing further ones.
+
+A request that was in flight when an engine crashed is a suspect. After the
+crashes that its `rules.Policy` allows, it is retried only under a claim, which
+a single attempt gets by a conditional write; the same write may reserve the
+engine, so that no other suspect runs there. The retry either clears the suspect
+or, by a crash, convicts it: all nodes reject a convicted request until its
+record expires.
+
+Records are rows of a table, by the fingerprint of the request. A node that may
+wait writes a crash before it answers (`report_crash`). One that may not applies
+changes to its own view at once and writes them in the background; a change that
+could not be written yet can be passed to peers (`unwritten`, `receive`). Times
+are steady: each node counts the lifetime of a record since it learned of it.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable, Iterable
+import datetime
+import functools
+from typing import Protocol, final
+import uuid
+
+import mode
+
+from _dogwoodhinge import errors
+from _dogwoodhinge import event_log
+from _dogwoodhinge import supervision
+from _dogwoodhinge.peer import peer_pb2
+from _dogwoodhinge.quarantine import broadcast
+from _dogwoodhinge.quarantine import records
+from _dogwoodhinge.quarantine import rules
+from dogwoodhinge import errors as public_errors
+from dogwoodhinge import models
+from dogwoodhinge import ports
+
+CLAIM_RETRY_AFTER = datetime.timedelta(seconds=5)
+POLL_INTERVAL = datetime.timedelta(seconds=5)
+MAX_WRITE_ATTEMPTS = 4
+PAGE_ROWS = 100
+MAX_CACHED_RECORDS = 4_000  # about 2 MB
+
+# A crash makes suspects of all requests in flight; their rows are written
+# together.
+WRITE_DELAY = datetime.timedelta(milliseconds=20)
+WRITE_RETRY_DELAY = datetime.timedelta(milliseconds=300)
+MAX_BATCH_RECORDS = 40
+MAX_SINGLE_READS = 2  # the rows of more records are read together
+MAX_UNWRITTEN_SENT = 64
+
+Change = Callable[
+    [records.QuarantineRecord | None], records.QuarantineRecord | None
+]
+
+
+class Table(Protocol):
+    """The part of `ports.TableService` that holds the records."""
+
+    async def get(self, table: str, key: str) -> models.Row | None:
+        """Reads one row."""
+
+    async def scan(
+        self, table: str, *, prefix: str = "", after: str = "", limit: int = 100
+    ) -> tuple[models.Row, ...]:
+        """Reads rows in key order."""
+
+    async def commit(self, transaction: models.Transaction) -> None:
+        """Writes rows if they have the expected versions."""
+
+
+class Reporter(Protocol):
+    """Logs that a record has changed."""
+
+    def __call__(
+        self, record: records.QuarantineRecord, *, request_id: str
+    ) -> None:
+        """Logs a record.
+
+        Args:
+            record: the record after the change.
+            request_id: the request that it was changed for; empty if the change
+                came from another node.
+        """
+
+
+class EngineReservedError(errors.RefusedError):
+    """Another suspect runs on the engine."""
+
+
+@final
+class Quarantine(mode.Service):
+    """Tracks suspects and convicted requests, and grants claims to retry.
+
+    Attributes:
+        cached_records: records by fingerprint, from the table and from peers.
+        known_since: monotonic second at which a record last changed here.
+        unwritten_changes: changes by fingerprint that are not in the table.
+        ended_claims: engines to be freed, with the claim that reserved them.
+        reservations: claims by reserved engine, with the monotonic second at
+            which this node learned of them.
+        evicted: records dropped for lack of space, whose rows are removed next.
+        counts: number of changes of records, by the new verdict.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        policy: rules.Policy,
+        clock: ports.Clock,
+        report: Reporter,
+        report_event: event_log.EventReporter,
+        broadcaster: broadcast.QuarantineBroadcaster | None = None,
+        cleans: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Creates the quarantine of one node.
+
+        Args:
+            table: holds the records of all nodes.
+            policy: how many crashes restrict a request.
+            clock: the clock.
+            report: logs changed records.
+            report_event: logs failures.
+            broadcaster: sends crashes to peers; None if the table's changes
+                are followed (`apply_row`) rather than polled.
+            cleans: returns whether this node removes expired rows.
+        """
+        super().__init__()
+        self.table = table
+        self.policy = policy
+        self.clock = clock
+        self.report = report
+        self.report_event = report_event
+        self.broadcaster = broadcaster
+        self.cleans = cleans
+        self.cached_records: dict[str, records.QuarantineRecord] = {}
+        self.known_since: dict[str, float] = {}
+        self.unwritten_changes: dict[str, list[Change]] = {}
+        self.ended_claims: dict[str, str] = {}
+        self.reservations: dict[str, tuple[str, float]] = {}
+        self.evicted: set[str] = set()
+        self.counts: collections.Counter[records.Verdict] = (
+            collections.Counter()
+        )
+        self.has_unwritten = asyncio.Event()
+
+    def find(self, fingerprint: str) -> records.QuarantineRecord | None:
+        """Returns the record of a suspect or convicted request."""
+        record = self._cached_record(fingerprint)
+        if record is None or record.verdict is records.Verdict.CLEARED:
+            return None
+        return record
+
+    def needs_claim(self, fingerprint: str) -> bool:
+        """Returns whether the next run of a request has to be claimed.
+
+        Raises:
+            QuarantinedError: the request is convicted and must not run.
+        """
+        record = self.find(fingerprint)
+        if record is None:
+            return False
+        if record.verdict is records.Verdict.CONVICTED:
+            raise self._convicted(record)
+        return len(record.engines) > self.policy.free_crashes
+
+    async def claim(
+        self, fingerprint: str, attempt_id: str, *, engine_id: str = ""
+    ) -> bool:
+        """Checks whether an attempt may run, and claims the run of a suspect.
+
+        Args:
+            fingerprint: digest of the request.
+            attempt_id: ID of the attempt.
+            engine_id: engine to reserve; empty if its owner keeps suspects
+                apart.
+
+        Returns:
+            True if the attempt runs as a suspect and now holds the claim, which
+            ends with its result.
+
+        Raises:
+            QuarantinedError: the request is convicted and must not run.
+            EngineReservedError: another suspect runs on the engine.
+            RefusedError: the request is a suspect that must not run now.
+        """
+        if not self.needs_claim(fingerprint):
+            return False
+        try:
+            claimed = await self._update(
+                fingerprint,
+                lambda old: self._claimed(old, attempt_id),
+                reserve=engine_id,
+                claim=attempt_id,
+            )
+        except public_errors.TableError as error:
+            raise errors.RefusedError(
+                "the request was in flight when an engine crashed, and it "
+                "can't be retried while the quarantine table is unavailable",
+                retry_after=CLAIM_RETRY_AFTER,
+            ) from error
+        record = self.find(fingerprint)
+        if record is not None and record.verdict is records.Verdict.CONVICTED:
+            raise self._convicted(record)
+        return claimed
+
+    # Results, written before they return.
+
+    async def report_crash(
+        self,
+        fingerprint: str,
+        *,
+        customer: str,
+        engine_id: str,
+        claim: str = "",
+    ) -> bool:
+        """Records that a request was in flight when an engine crashed.
+
+        Args:
+            fingerprint: digest of the request.
+            customer: customer that sent the request.
+            engine_id: engine that crashed.
+            claim: ID of the attempt if it ran as a suspect, else empty.
+
+        Returns:
+            Whether the request is now convicted.
+        """
+        crash = rules.suspect(
+            fingerprint, customer=customer, engine_id=engine_id
+        )
+        change = self._crash_change(crash, claim, policy=self.policy)
+        try:
+            await self._update(fingerprint, change)
+        except public_errors.TableError as error:
+            self._report_unavailable(error)
+            self._record_crash_locally(crash, claim)
+        record = self.cached_records[fingerprint]
+        self.report(record, request_id=claim)
+        if self.broadcaster is not None:
+            await self.broadcaster.broadcast(record)
+        return record.verdict is records.Verdict.CONVICTED
+
+    def _record_crash_locally(
+        self, crash: records.QuarantineRecord, claim: str
+    ) -> None:
+        """Caches the record of a crash until the table accepts writes again.
+
+        While the table is unavailable, a second crash convicts a request only
+        if it ran under a claim: a node that loses its network connection loses
+        all engines at once, which looks like several crashes.
+        """
+        policy = rules.SHARED_ENGINES
+        self._apply(
+            crash.fingerprint, self._crash_change(crash, claim, policy=policy)
+        )
+
+    def _crash_change(
+        self,
+        crash: records.QuarantineRecord,
+        claim: str,
+        *,
+        policy: rules.Policy,
+    ) -> Change:
+        known_since = self.known_since.get(crash.fingerprint)
+        repeated = (
+            known_since is not None
+            and self.clock.monotonic() - known_since
+            >= rules.SAME_CRASH_WINDOW.total_seconds()
+        )
+        return functools.partial(
+            rules.after_crash,
+            crash=crash,
+            claim=claim,
+            policy=policy,
+            repeated=repeated,
+        )
+
+    async def clear(self, fingerprint: str, attempt_id: str) -> None:
+        """Ends a claim and clears the suspect, which ran to completion."""
+        await self._end_claim(fingerprint, attempt_id, cleared=True)
+
+    async def release_claim(self, fingerprint: str, attempt_id: str) -> None:
+        """Ends a claim of an attempt that did not run; it stays a suspect."""
+        await self._end_claim(fingerprint, attempt_id, cleared=False)
+
+    # Results, written in the background.
+
+    def record_crash(
+        self,
+        fingerprint: str,
+        *,
+        customer: str,
+        engine_id: str,
+        claim: str = "",
+        request_id: str = "",
+    ) -> None:
+        """Records that a request was in flight when an engine crashed."""
+        crash = rules.suspect(
+            fingerprint, customer=customer, engine_id=engine_id
+        )
+        self._apply(
+            fingerprint,
+            functools.partial(
+                rules.after_crash, crash=crash, claim=claim, policy=self.policy
+            ),
+            request_id=request_id,
+        )
+
+    def record_success(self, fingerprint: str, *, request_id: str = "") -> None:
+        """Clears a suspect or convicted request that ran to completion."""
+        if self.find(fingerprint) is not None:
+            self._apply(fingerprint, _cleared, request_id=request_id)
+
+    def record_claim_end(
+        self, fingerprint: str, claim: str, *, engine_id: str, ran: bool
+    ) -> None:
+        """Ends a claim and frees its engine.
+
+        Args:
+            fingerprint: digest of the request.
+            claim: the claim.
+            engine_id: the engine that it reserved.
+            ran: whether the attempt ran, with an unknown outcome.
+        """
+        self.ended_claims[engine_id] = claim
+        self._apply(
+            fingerprint, functools.partial(_released, claim=claim, ran=ran)
+        )
+        self.has_unwritten.set()
+
+    def _apply(
+        self, fingerprint: str, change: Change, *, request_id: str = ""
+    ) -> None:
+        """Applies a change to this node's view and leaves it to be written."""
+        old = self._cached_record(fingerprint)
+        changed = change(old)
+        if changed is None or changed == old:
+            return
+        self._cache(changed)
+        self.unwritten_changes.setdefault(fingerprint, []).append(change)
+        self.has_unwritten.set()
+        if request_id:
+            self.report(changed, request_id=request_id)
+
+    # Records of other nodes.
+
+    async def receive_conviction(self, conviction: peer_pb2.Conviction) -> None:
+        """Caches a record sent by a peer; without a time, of a suspect."""
+        record = rules.suspect(
+            conviction.fingerprint,
+            customer=conviction.customer,
+            engine_id=conviction.engine_id,
+        )
+        if conviction.convicted_at_ms:
+            self._cache(rules.convicted(record))
+        elif self._cached_record(conviction.fingerprint) is None:
+            self._cache(record)
+
+    def unwritten(self) -> list[records.QuarantineRecord]:
+        """Returns records with changes that are not in the table yet."""
+        found = map(self.cached_records.get, self.unwritten_changes)
+        return [record for record in found if record][:MAX_UNWRITTEN_SENT]
+
+    def receive(self, key: str, value: bytes, *, write: bool) -> None:
+        """Applies a record that another node has not written yet.
+
+        Args:
+            key: the fingerprint.
+            value: the encoded record.
+            write: whether to write it to the table from here.
+        """
+        try:
+            record = records.decode(value)
+        except records.InvalidRecordError as error:
+            self._report_unreadable(key, error)
+            return
+        merge = functools.partial(rules.merged, other=record)
+        if write:
+            self._apply(record.fingerprint, merge)
+            return
+        old = self._cached_record(record.fingerprint)
+        changed = merge(old)
+        if changed != old:
+            self._cache(changed)
+
+    def apply_row(self, key: str, value: bytes | None) -> None:
+        """Applies a row of the table that has changed, or was removed."""
+        try:
+            if key.startswith(records.RESERVATION_PREFIX):
+                self._apply_reservation(key, value)
+            elif value is not None:
+                self._apply_record(records.decode(value))
+            elif key not in self.unwritten_changes:
+                self._forget(key)
+        except records.InvalidRecordError as error:
+            self._report_unreadable(key, error)
+
+    def apply_snapshot(self, rows: Iterable[tuple[str, bytes | None]]) -> None:
+        """Applies all rows of the table."""
+        present = set()
+        for key, value in rows:
+            present.add(key)
+            self.apply_row(key, value)
+        for fingerprint in self.cached_records.keys() - present:
+            if fingerprint not in self.unwritten_changes:
+                self._forget(fingerprint)
+
+    def _apply_record(self, record: records.QuarantineRecord) -> None:
+        changed = self._with_unwritten(record.fingerprint, record)
+        if changed is not None:
+            self._cache(changed)
+
+    def _apply_reservation(self, key: str, value: bytes | None) -> None:
+        engine_id = key.removeprefix(records.RESERVATION_PREFIX)
+        if value is None:
+            self.reservations.pop(engine_id, None)
+            return
+        claim = records.decode_reservation(value).claim
+        known = self.reservations.get(engine_id)
+        if known is None or known[0] != claim:
+            self.reservations[engine_id] = claim, self.clock.monotonic()
+
+    # The table.
+
+    async def poll(self) -> None:
+        """Writes missing records, reads the table, deletes expired rows."""
+        if self.broadcaster is not None:
+            self.broadcaster.reset_suspect_limit()
+        await self.flush()
+        for row in await self._scan():
+            self.apply_row(row.key, row.value)
+        await self.remove_expired()
+
+    @mode.Service.task
+    async def _poll_periodically(self) -> None:
+        while not self.should_stop and self.broadcaster is not None:
+            try:
+                await self.poll()
+            except public_errors.TableError as error:
+                self._report_unavailable(error)
+            await self.clock.sleep(POLL_INTERVAL)
+
+    @mode.Service.task
+    async def _remove_periodically(self) -> None:
+        await supervision.repeat(
+            self, self._remove_once, report=self.report_event
+        )
+
+    async def _remove_once(self) -> float:
+        if self.broadcaster is None and self.cleans():
+            try:
+                await self.remove_expired()
+            except public_errors.TableError as error:
+                self._report_unavailable(error)
+        return POLL_INTERVAL.total_seconds()
+
+    @mode.Service.task
+    async def _write_periodically(self) -> None:
+        await supervision.repeat(
+            self, self._write_once, report=self.report_event
+        )
+
+    async def _write_once(self) -> float:
+        await self.has_unwritten.wait()
+        await self.clock.sleep(WRITE_DELAY)
+        self.has_unwritten.clear()
+        try:
+            await self.flush()
+        except public_errors.TableError as error:
+            self._report_unavailable(error)
+            self.has_unwritten.set()
+            return WRITE_RETRY_DELAY.total_seconds()
+        return 0.0
+
+    def _report_unavailable(self, error: public_errors.TableError) -> None:
+        self.report_event(
+            "quarantine_table_unavailable",
+            {"reason": str(error), "unwritten": len(self.unwritten_changes)},
+        )
+
+    def _report_unreadable(
+        self, key: str, error: records.InvalidRecordError
+    ) -> None:
+        self.report_event(
+            "quarantine_row_unreadable", {"key": key, "reason": str(error)}
+        )
+
+    async def flush(self) -> None:
+        """Writes the changes that are not in the table yet.
+
+        Raises:
+            TableError: some may not have been written.
+        """
+        while self.unwritten_changes or self.ended_claims:
+            batch = list(self.unwritten_changes)[:MAX_BATCH_RECORDS]
+            freed = dict(list(self.ended_claims.items())[:MAX_BATCH_RECORDS])
+            await self._write_batch(batch, freed)
+
+    async def remove_expired(self) -> None:
+        """Removes the rows of records and claims that have expired here.
+
+        Raises:
+            TableError: some may not have been removed.
+        """
+        expired = [
+            fingerprint
+            for fingerprint in self.cached_records
+            if self._is_expired(fingerprint)
+            and fingerprint not in self.unwritten_changes
+        ]
+        expired += self.evicted - self.cached_records.keys()
+        for begin in range(0, len(expired), MAX_BATCH_RECORDS):
+            batch = expired[begin : begin + MAX_BATCH_RECORDS]
+            rows = await self._read_rows(batch)
+            await self._commit(
+                self._row_write(row.key, None, row) for row in rows.values()
+            )
+            for fingerprint in batch:
+                self._forget(fingerprint)
+            self.evicted.difference_update(batch)
+        for engine_id, (claim, _) in tuple(self.reservations.items()):
+            if self._is_abandoned(engine_id, claim):
+                self.ended_claims[engine_id] = claim
+                self.has_unwritten.set()
+
+    async def _write_batch(
+        self, fingerprints: list[str], freed: dict[str, str]
+    ) -> None:
+        """Writes the changes of some records and frees some engines."""
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            pending = {
+                fingerprint: len(self.unwritten_changes[fingerprint])
+                for fingerprint in fingerprints
+                if fingerprint in self.unwritten_changes
+            }
+            cached = {f: self.cached_records.get(f) for f in pending}
+            keys = {records.reservation_key(e): e for e in freed}
+            rows = await self._read_rows([*pending, *keys])
+            written: dict[str, records.QuarantineRecord] = {}
+            writes = []
+            for fingerprint in pending:
+                row = rows.get(fingerprint)
+                old = self._decode(row)
+                changed = self._with_unwritten(fingerprint, old)
+                if changed is None:
+                    continue
+                written[fingerprint] = changed
+                if changed != old:
+                    writes.append(
+                        self._row_write(
+                            fingerprint, records.encode(changed), row
+                        )
+                    )
+            for key, engine_id in keys.items():
+                row = rows.get(key)
+                if row is not None and _reserved_by(row) == freed[engine_id]:
+                    writes.append(self._row_write(key, None, row))
+            try:
+                await self._commit(writes)
+            except (
+                public_errors.TableConflictError,
+                public_errors.TableOutcomeUnknownError,
+            ):
+                continue  # reads the current rows and retries
+            self._finish_batch(pending, cached, written, freed)
+            return
+        raise public_errors.TableOutcomeUnknownError(
+            f"{len(fingerprints)} quarantine records could not be written: "
+            "every attempt had a conflict or an unknown outcome"
+        )
+
+    def _finish_batch(
+        self,
+        pending: dict[str, int],
+        cached: dict[str, records.QuarantineRecord | None],
+        written: dict[str, records.QuarantineRecord],
+        freed: dict[str, str],
+    ) -> None:
+        for fingerprint, count in pending.items():
+            self._drop_written(fingerprint, count)
+            # A row that was read from the table meanwhile is newer.
+            unchanged = (
+                self.cached_records.get(fingerprint) is (cached[fingerprint])
+            )
+            if unchanged and fingerprint in written:
+                self._cache(written[fingerprint])
+        for engine_id, claim in freed.items():
+            if self.ended_claims.get(engine_id) == claim:
+                del self.ended_claims[engine_id]
+            if self.reservations.get(engine_id, ("", 0.0))[0] == claim:
+                del self.reservations[engine_id]
+
+    def _with_unwritten(
+        self, fingerprint: str, record: records.QuarantineRecord | None
+    ) -> records.QuarantineRecord | None:
+        """Applies the changes that are not in the table yet."""
+        for change in self.unwritten_changes.get(fingerprint, ()):
+            record = change(record)
+        return record
+
+    def _drop_written(self, fingerprint: str, count: int) -> None:
+        """Drops the first changes of a record, which are in the table now."""
+        left = self.unwritten_changes.get(fingerprint, [])[count:]
+        if left:
+            self.unwritten_changes[fingerprint] = left
+        else:
+            self.unwritten_changes.pop(fingerprint, None)
+
+    async def _end_claim(
+        self, fingerprint: str, attempt_id: str, *, cleared: bool
+    ) -> None:
+        row = await self.table.get(records.TABLE, fingerprint)
+        record = self._decode(row)
+        if row is None or record is None or record.claim != attempt_id:
+            return  # convicted in the meantime, or claimed by another attempt
+        ended = (
+            rules.cleared(record)
+            if cleared
+            else rules.claim_released(record, attempt_id, ran=True)
+        )
+        await self._commit(
+            [self._row_write(fingerprint, records.encode(ended), row)]
+        )
+        self._cache(ended)
+
+    async def _update(
+        self,
+        fingerprint: str,
+        change: Change,
+        *,
+        reserve: str = "",
+        claim: str = "",
+    ) -> bool:
+        """Applies a change to a row, or drops the record if it returns None.
+
+        If the table has no valid row, the cached record is used: it may not
+        have been written to the table yet.
+
+        Args:
+            fingerprint: digest of the request.
+            change: returns the new record.
+            reserve: engine to reserve for `claim` in the same transaction;
+                empty for none.
+            claim: the claim.
+
+        Returns:
+            Whether a record was written.
+
+        Raises:
+            TableError: the row may or may not have been changed.
+        """
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            row = await self.table.get(records.TABLE, fingerprint)
+            unwritten = len(self.unwritten_changes.get(fingerprint, ()))
+            old = self._with_unwritten(fingerprint, self._decode(row))
+            if old is None:
+                old = self._cached_record(fingerprint)
+            changed = change(old)
+            if changed is None:
+                self._forget(fingerprint)
+                self._drop_written(fingerprint, unwritten)
+                return False
+            writes = [
+                self._row_write(fingerprint, records.encode(changed), row)
+            ]
+            if reserve and changed.claim == claim:
+                writes.append(await self._reservation_write(reserve, claim))
+            try:
+                await self._commit(writes)
+            except (
+                public_errors.TableConflictError,
+                public_errors.TableOutcomeUnknownError,
+            ):
+                continue  # reads the current row and retries
+            self._cache(changed)
+            self._drop_written(fingerprint, unwritten)
+            return True
+        raise public_errors.TableOutcomeUnknownError(
+            f"the quarantine record of request {fingerprint} could not be "
+            "written: every attempt had a conflict or an unknown outcome"
+        )
+
+    async def _reservation_write(
+        self, engine_id: str, claim: str
+    ) -> models.Write:
+        key = records.reservation_key(engine_id)
+        row = await self.table.get(records.TABLE, key)
+        if row is not None:
+            self.apply_row(key, row.value)
+            holder = _reserved_by(row)
+            if holder != claim and not self._is_abandoned(engine_id, holder):
+                raise EngineReservedError(
+                    f"another suspect runs on engine {engine_id}",
+                    retry_after=CLAIM_RETRY_AFTER,
+                )
+        value = records.encode_reservation(records.Reservation(claim=claim))
+        return self._row_write(key, value, row)
+
+    def _is_abandoned(self, engine_id: str, claim: str) -> bool:
+        known_claim, since = self.reservations.get(engine_id, (claim, 0.0))
+        age = self.clock.monotonic() - since
+        return (
+            known_claim == claim
+            and age >= self.policy.claim_lifetime.total_seconds()
+        )
+
+    def _claimed(
+        self, old: records.QuarantineRecord | None, attempt_id: str
+    ) -> records.QuarantineRecord | None:
+        """Returns the record with a claim, or None if no claim is needed."""
+        if old is None or old.verdict is records.Verdict.CLEARED:
+            return None
+        if old.verdict is records.Verdict.CONVICTED:
+            self._cache(old)
+            raise self._convicted(old)
+        if old.claim not in ("", attempt_id) and not self._claim_ended(old):
+            raise errors.RefusedError(
+                "the request was in flight when an engine crashed, and its "
+                "only retry is still in progress",
+                retry_after=CLAIM_RETRY_AFTER,
+            )
+        limit = self.policy.max_reruns
+        if (
+            limit is not None
+            and old.claim != attempt_id
+            and old.reruns >= limit
+        ):
+            return rules.convicted(old)
+        return rules.claimed(old, attempt_id)
+
+    def _claim_ended(self, record: records.QuarantineRecord) -> bool:
+        """Returns whether a claim has outlasted its lifetime."""
+        known = self.cached_records.get(record.fingerprint)
+        if known is None or known.claim != record.claim:
+            self._cache(record)
+        since = self.known_since[record.fingerprint]
+        age = self.clock.monotonic() - since
+        return age >= self.policy.claim_lifetime.total_seconds()
+
+    async def _scan(self) -> list[models.Row]:
+        rows: list[models.Row] = []
+        after = ""
+        while True:
+            page = await self.table.scan(
+                records.TABLE, after=after, limit=PAGE_ROWS
+            )
+            rows += page
+            if len(page) < PAGE_ROWS:
+                return rows
+            after = page[-1].key
+
+    async def _read_rows(self, keys: list[str]) -> dict[str, models.Row]:
+        if len(keys) > MAX_SINGLE_READS:
+            wanted = set(keys)
+            return {
+                row.key: row for row in await self._scan() if row.key in wanted
+            }
+        found = [await self.table.get(records.TABLE, key) for key in keys]
+        return {row.key: row for row in found if row is not None}
+
+    def _row_write(
+        self, key: str, value: bytes | None, row: models.Row | None
+    ) -> models.Write:
+        version = models.ABSENT if row is None else row.version
+        now_ms = int(self.clock.now().timestamp() * 1_000)
+        return models.Write(
+            table=records.TABLE,
+            key=key,
+            value=value,
+            # Versions increase with time: a row that was deleted and inserted
+            # again never has a version that an earlier writer expects.
+            version=max(version + 1, now_ms),
+            expected=version,
+        )
+
+    async def _commit(self, writes: Iterable[models.Write]) -> None:
+        transaction = models.Transaction(uuid.uuid4().hex, writes=tuple(writes))
+        if transaction.writes:
+            await self.table.commit(transaction)
+
+    def _decode(
+        self, row: models.Row | None
+    ) -> records.QuarantineRecord | None:
+        """Returns the record of a row that is valid and has not expired."""
+        if row is None:
+            return None
+        try:
+            record = records.decode(row.value)
+        except records.InvalidRecordError as error:
+            self._report_unreadable(row.key, error)
+            return None
+        known = self.cached_records.get(record.fingerprint)
+        if known == record and self._is_expired(record.fingerprint):
+            return None
+        return record
+
+    # This node's view.
+
+    def _cache(self, record: records.QuarantineRecord) -> None:
+        old = self.cached_records.pop(record.fingerprint, None)
+        self.cached_records[record.fingerprint] = record
+        if old != record:
+            self.known_since[record.fingerprint] = self.clock.monotonic()
+            if old is None or old.verdict is not record.verdict:
+                self.counts[record.verdict] += 1
+        if len(self.cached_records) > MAX_CACHED_RECORDS:
+            self._evict()
+
+    def _evict(self) -> None:
+        """Drops a record of the customer with the most records.
+
+        That is its oldest one, convicted requests last.
+        """
+        owners = collections.Counter(
+            record.customer for record in self.cached_records.values()
+        )
+        ((customer, _),) = owners.most_common(1)
+        oldest = min(
+            (r for r in self.cached_records.values() if r.customer == customer),
+            key=lambda r: (
+                r.verdict is records.Verdict.CONVICTED,
+                self.known_since[r.fingerprint],
+            ),
+        ).fingerprint
+        self._forget(oldest)
+        self.unwritten_changes.pop(oldest, None)
+        if self.cleans():
+            self.evicted.add(oldest)
+
+    def _forget(self, fingerprint: str) -> None:
+        self.cached_records.pop(fingerprint, None)
+        self.known_since.pop(fingerprint, None)
+
+    def _cached_record(
+        self, fingerprint: str
+    ) -> records.QuarantineRecord | None:
+        if fingerprint in self.cached_records and self._is_expired(fingerprint):
+            return None
+        return self.cached_records.get(fingerprint)
+
+    def _is_expired(self, fingerprint: str) -> bool:
+        return self._seconds_left(fingerprint) <= 0
+
+    def _seconds_left(self, fingerprint: str) -> float:
+        """Returns the rest of a cached record's lifetime."""
+        record = self.cached_records[fingerprint]
+        age = self.clock.monotonic() - self.known_since[fingerprint]
+        return rules.lifetime(record.verdict).total_seconds() - age
+
+    def _convicted(
+        self, record: records.QuarantineRecord
+    ) -> errors.QuarantinedError:
+        seconds = self._seconds_left(record.fingerprint)
+        count = "two" if len(record.engines) <= 2 else str(len(record.engines))
+        return errors.QuarantinedError(
+            f"this request crashed {count} engines and is rejected for another "
+            f"{seconds:.0f} s unless its content is changed",
+            retry_after=datetime.timedelta(seconds=max(0.0, seconds)),
+        )
+
+
+def _cleared(
+    old: records.QuarantineRecord | None,
+) -> records.QuarantineRecord | None:
+    return None if old is None else rules.cleared(old)
+
+
+def _released(
+    old: records.QuarantineRecord | None, *, claim: str, ran: bool
+) -> records.QuarantineRecord | None:
+    return None if old is None else rules.claim_released(old, claim, ran=ran)
+
+
+def _reserved_by(row: models.Row) -> str:
+    """Returns the claim that reserves an engine; empty if unreadable."""
+    try:
+        return records.decode_reservation(row.value).claim
+    except records.InvalidRecordError:
+        return ""  # `apply_row` has logged it
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -0,0 +1,114 @@
+"""Rows of the quarantine table: requests in flight at an engine crash."""
+
+import dataclasses
+import enum
+from typing import final
+
+import pydantic
+
+from dogwoodhinge import errors
+
+TABLE = "quarantine"
+
+# Key prefix of the rows that reserve an engine for one suspect.
+RESERVATION_PREFIX = "engine/"
+
+
+class InvalidRecordError(errors.DogwoodhingeError):
+    """The value of a row is no record of the quarantine."""
+
+
+class Verdict(enum.StrEnum):
+    """Quarantine state of a request.
+
+    Attributes:
+        SUSPECT: was in flight when an engine crashed.
+        RERUNNING: a suspect that is being retried under a claim.
+        CONVICTED: crashes engines and is rejected.
+        CLEARED: a suspect that later ran to completion.
+    """
+
+    SUSPECT = "suspect"
+    RERUNNING = "rerunning"
+    CONVICTED = "convicted"
+    CLEARED = "cleared"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineRecord:
+    """Quarantine state of a request that was in flight at an engine crash.
+
+    Attributes:
+        fingerprint: digest of the request.
+        customer: customer or caller that sent it.
+        engines: the engines that crashed while it was in flight, in order; of
+            a cleared request, those before it ran to completion.
+        claim: ID of the attempt that retries the request, else empty.
+        reruns: claims that ended without showing whether it crashes engines.
+    """
+
+    fingerprint: str
+    verdict: Verdict
+    customer: str
+    engines: tuple[str, ...] = ()
+    claim: str = ""
+    reruns: int = 0
+
+    @property
+    def engine_id(self) -> str:
+        """Engine of the latest crash."""
+        return self.engines[-1] if self.engines else ""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reservation:
+    """An engine that runs no other suspect until the claim ends."""
+
+    claim: str
+
+
+RECORDS = pydantic.TypeAdapter(QuarantineRecord)
+RESERVATIONS = pydantic.TypeAdapter(Reservation)
+
+
+def encode(record: QuarantineRecord) -> bytes:
+    """Encodes a record as the value of a row."""
+    return RECORDS.dump_json(record)
+
+
+def decode(value: bytes) -> QuarantineRecord:
+    """Decodes the value of a row.
+
+    Raises:
+        InvalidRecordError: the value is no record.
+    """
+    try:
+        return RECORDS.validate_json(value)
+    except pydantic.ValidationError as error:
+        raise InvalidRecordError(f"no quarantine record: {error}") from error
+
+
+def encode_reservation(reservation: Reservation) -> bytes:
+    """Encodes the reservation of an engine as the value of a row."""
+    return RESERVATIONS.dump_json(reservation)
+
+
+def decode_reservation(value: bytes) -> Reservation:
+    """Decodes the reservation of an engine.
+
+    Raises:
+        InvalidRecordError: the value is no reservation.
+    """
+    try:
+        return RESERVATIONS.validate_json(value)
+    except pydantic.ValidationError as error:
+        raise InvalidRecordError(
+            f"no reservation of an engine: {error}"
+        ) from error
+
+
+def reservation_key(engine_id: str) -> str:
+    """Returns the key of the row that reserves an engine."""
+    return f"{RESERVATION_PREFIX}{engine_id}"
--- /dev/null
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -0,0 +1,225 @@
+"""State transitions of quarantine records.
+
+Each transition may be applied again to its own result, since a write whose
+response was lost is repeated.
+"""
+
+import dataclasses
+import datetime
+from typing import final
+
+from _dogwoodhinge.quarantine import records
+
+SAME_CRASH_WINDOW = datetime.timedelta(seconds=10)
+SUSPECT_LIFETIME = datetime.timedelta(minutes=10)
+CONVICTION_LIFETIME = datetime.timedelta(hours=1)
+
+# Covers reports of crashes that happened before the request was cleared.
+CLEARED_LIFETIME = datetime.timedelta(minutes=1)
+
+# Crashes of one request that are named in its record, the latest ones.
+MAX_NAMED_ENGINES = 8
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """How many crashes restrict a request.
+
+    Attributes:
+        free_crashes: crashes up to which a suspect runs without a claim.
+        convicting_crashes: crashes that convict a suspect although none of
+            them was under a claim; None if these never convict.
+        max_reruns: claims with an unknown outcome that convict a suspect; None
+            for no limit.
+        claim_lifetime: time after which a claim counts as abandoned.
+    """
+
+    free_crashes: int
+    convicting_crashes: int | None
+    max_reruns: int | None
+    claim_lifetime: datetime.timedelta
+
+
+# The owner of an engine runs one suspect at a time there, so that a second
+# crash points to the request.
+OWNED_ENGINES = Policy(
+    free_crashes=0,
+    convicting_crashes=2,
+    max_reruns=None,
+    claim_lifetime=SUSPECT_LIFETIME,
+)
+
+# Nodes share the engines, and all requests beside the cause of a crash are
+# suspects. They continue elsewhere at once; the few that were in flight at a
+# second crash are separated from each other.
+SHARED_ENGINES = Policy(
+    free_crashes=1,
+    convicting_crashes=None,
+    max_reruns=3,
+    claim_lifetime=datetime.timedelta(seconds=30),
+)
+
+
+def suspect(
+    fingerprint: str, *, customer: str, engine_id: str
+) -> records.QuarantineRecord:
+    """Returns the record of a request that was in flight at a crash."""
+    return records.QuarantineRecord(
+        fingerprint=fingerprint,
+        verdict=records.Verdict.SUSPECT,
+        customer=customer,
+        engines=(engine_id,),
+    )
+
+
+def after_crash(
+    old: records.QuarantineRecord | None,
+    *,
+    crash: records.QuarantineRecord,
+    claim: str,
+    policy: Policy,
+    repeated: bool = False,
+) -> records.QuarantineRecord:
+    """Returns the record of a request after an engine crash.
+
+    Args:
+        old: record before the crash.
+        crash: record of a suspect for this crash.
+        claim: claim that the request ran under, empty without one.
+        policy: which crashes convict.
+        repeated: whether an engine that is named in `old` has crashed again,
+            rather than being reported again.
+    """
+    if old is not None and old.verdict is records.Verdict.CONVICTED:
+        return old
+    if claim:
+        return convicted(_with_crash(old, crash, repeated=True))
+    updated = _with_crash(old, crash, repeated=repeated)
+    limit = policy.convicting_crashes
+    if (
+        limit is not None
+        and updated.verdict is not records.Verdict.CLEARED
+        and len(updated.engines) >= limit
+    ):
+        return convicted(updated)
+    return updated
+
+
+def _with_crash(
+    old: records.QuarantineRecord | None,
+    crash: records.QuarantineRecord,
+    *,
+    repeated: bool,
+) -> records.QuarantineRecord:
+    if old is None:
+        return crash
+    known = crash.engine_id in old.engines
+    if old.verdict is records.Verdict.CLEARED:
+        return crash if repeated or not known else old
+    if known and not repeated:
+        return old
+    return dataclasses.replace(
+        old, engines=_latest(*old.engines, crash.engine_id)
+    )
+
+
+def _latest(*engines: str) -> tuple[str, ...]:
+    return engines[-MAX_NAMED_ENGINES:]
+
+
+def merged(
+    old: records.QuarantineRecord | None, other: records.QuarantineRecord
+) -> records.QuarantineRecord:
+    """Returns a record with the crashes of two, except the cleared ones."""
+    if old is None:
+        return other
+    cleared_ones = [
+        record
+        for record in (old, other)
+        if record.verdict is records.Verdict.CLEARED
+    ]
+    if len(cleared_ones) == 1:
+        (cleared_one,) = cleared_ones
+        rest = other if cleared_one is old else old
+        since = tuple(
+            engine
+            for engine in rest.engines
+            if engine not in cleared_one.engines
+        )
+        if not since:
+            return cleared_one
+        return dataclasses.replace(rest, engines=since)
+    engines = _latest(
+        *old.engines,
+        *(engine for engine in other.engines if engine not in old.engines),
+    )
+    united = dataclasses.replace(
+        old, engines=engines, reruns=max(old.reruns, other.reruns)
+    )
+    if records.Verdict.CONVICTED in (old.verdict, other.verdict):
+        return convicted(united)
+    return united
+
+
+def convicted(record: records.QuarantineRecord) -> records.QuarantineRecord:
+    """Returns the record of a request that crashes engines."""
+    return dataclasses.replace(
+        record, verdict=records.Verdict.CONVICTED, claim=""
+    )
+
+
+def claimed(
+    record: records.QuarantineRecord, claim: str
+) -> records.QuarantineRecord:
+    """Returns the record of a suspect that is retried."""
+    if record.claim == claim:
+        return record
+    return dataclasses.replace(
+        record,
+        verdict=records.Verdict.RERUNNING,
+        claim=claim,
+        reruns=record.reruns + 1,
+    )
+
+
+def claim_released(
+    record: records.QuarantineRecord, claim: str, *, ran: bool
+) -> records.QuarantineRecord:
+    """Returns the record of a suspect whose retry has ended.
+
+    Args:
+        record: the record.
+        claim: the claim that ends; another one stays.
+        ran: whether the retry ran, with an unknown outcome.
+    """
+    if record.claim != claim:
+        return record
+    return dataclasses.replace(
+        record,
+        verdict=records.Verdict.SUSPECT,
+        claim="",
+        reruns=record.reruns if ran else record.reruns - 1,
+    )
+
+
+def cleared(
+    record: records.QuarantineRecord,
+) -> records.QuarantineRecord:
+    """Returns the record of a suspect that ran to completion.
+
+    The record is stored, not deleted: a missing row means that the suspect was
+    not written to the table.
+    """
+    return dataclasses.replace(
+        record, verdict=records.Verdict.CLEARED, claim="", reruns=0
+    )
+
+
+def lifetime(verdict: records.Verdict) -> datetime.timedelta:
+    """Returns how long a record is kept after its last change."""
+    if verdict is records.Verdict.CONVICTED:
+        return CONVICTION_LIFETIME
+    if verdict is records.Verdict.CLEARED:
+        return CLEARED_LIFETIME
+    return SUSPECT_LIFETIME
--- a/packages/dogwoodhinge/testing/dispatch/conftest.py
+++ b/packages/dogwoodhinge/testing/dispatch/conftest.py
@@ -11,7 +11,7 @@
 from _dogwoodhinge.dispatch import grants as grants_lib
 from _dogwoodhinge.dispatch import intents as intents_lib
 from _dogwoodhinge.dispatch import plain_calls as plain_calls_lib
-from _dogwoodhinge.dispatch import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import quarantine as quarantine_lib
 from dogwoodhinge import models
 from dogwoodhinge_lab import dispatch_fakes
 from dogwoodhinge_lab import dispatch_node
--- a/packages/dogwoodhinge/testing/dispatch/test_quarantine.py
+++ b/packages/dogwoodhinge/testing/dispatch/test_quarantine.py
@@ -8,10 +8,10 @@
 from _dogwoodhinge import errors
 from _dogwoodhinge.dispatch import generation_requests
 from _dogwoodhinge.dispatch import generations as generations_lib
-from _dogwoodhinge.dispatch import quarantine as quarantine_lib
-from _dogwoodhinge.dispatch import quarantine_records as records
-from _dogwoodhinge.dispatch import quarantine_rules
 from _dogwoodhinge.peer import peer_pb2
+from _dogwoodhinge.quarantine import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import records
+from _dogwoodhinge.quarantine import rules as quarantine_rules
 from dogwoodhinge_lab import dispatch_fakes
 from dogwoodhinge_lab import dispatch_node
 from dogwoodhinge_lab import memory_table
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -10,6 +10,7 @@
 from grpclib import server as grpc_server
 import pytest
 
+from _dogwoodhinge import clock
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
 from _dogwoodhinge.fleet import announcements
 from _dogwoodhinge.fleet import engines
@@ -26,7 +27,10 @@
 from _dogwoodhinge.fleet import placement_queue
 from _dogwoodhinge.fleet import shared_retry_budget
 from _dogwoodhinge.fleet import table_updates
+from _dogwoodhinge.quarantine import quarantine
+from _dogwoodhinge.quarantine import rules
 from dogwoodhinge_lab import fleet_fakes
+from dogwoodhinge_lab import memory_table
 
 KEY = models.AdapterKey("base", "a1")
 OTHER = models.AdapterKey("base", "a2")
@@ -155,6 +159,13 @@
             listing=listing.EndpointListing(directory=directory, report=report),
             report=report,
         ),
+        quarantine.Quarantine(
+            table=memory_table.MemoryTable(),
+            policy=rules.SHARED_ENGINES,
+            clock=clock.SystemClock(),
+            report=lambda record, *, request_id: None,
+            report_event=report,
+        ),
     )
     client = leader_client.LeaderClient(
         node=f"{name}@127.0.0.1",
--- a/tools/check_clocks.py
+++ b/tools/check_clocks.py
@@ -16,7 +16,8 @@
     "_dogwoodhinge/decisions.py": "time in decision lines",
     "_dogwoodhinge/config/append.py": "time in the history of contracts",
     "_dogwoodhinge/dispatch/intents.py": "expiry in rows that nodes share",
-    "_dogwoodhinge/dispatch/quarantine.py": "expiry in rows that nodes share",
+    "_dogwoodhinge/quarantine/broadcast.py": "time in messages, not compared",
+    "_dogwoodhinge/quarantine/quarantine.py": "versions of rows grow with time",
 }
 
 TIME_OF_DAY_CALLS = frozenset(
