Convicted requests are tried again; suspects avoid an engine that another one has

A bystander of several crashes with different causes could be convicted: its own run under a claim was beside a request that was a suspect of its first crash only and ran freely. On the platform it was then rejected for an hour.

Suspects of one crash now avoid an engine that is reserved for another suspect's run, and a conviction is a probation first: rejected for 10 s, then one more claimed run, then 5 min and another one, then an hour. Crashed and unexplained runs count alike, so a request gets three claims at most in all, the bound of the users' pages. The product's own path has its hour at once, as before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -95,9 +95,17 @@
         """
         self.check(call)
         claimed = self._fingerprint_to_claim(call)
+        engine_name = _name(engine)
         if not claimed:
+            if engine_name in self.quarantine.reservations and any(
+                map(self.quarantine.find, call.fingerprints)
+            ):
+                raise errors.NotRunError(
+                    f"another suspect runs on {engine.engine_id}",
+                    unreachable=True,
+                    sent=False,
+                )
             return Run(engine)
-        engine_name = _name(engine)
         call.claims += 1
         claim = f"{call.request.request_id}/{call.claims}"
         try:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -162,7 +162,8 @@
         if record is None:
             return False
         if record.verdict is records.Verdict.CONVICTED:
-            raise self._convicted(record)
+            self._check_probation(record)
+            return True
         return len(record.engines) > self.policy.free_crashes
 
     async def claim(
@@ -202,7 +203,7 @@
             ) from error
         record = self.find(fingerprint)
         if record is not None and record.verdict is records.Verdict.CONVICTED:
-            raise self._convicted(record)
+            self._check_probation(record)
         return claimed
 
     # Results, written before they return.
@@ -675,6 +676,8 @@
                 continue  # reads the current row and retries
             self._cache(changed)
             self._drop_written(fingerprint, unwritten)
+            if len(writes) > 1:
+                self.reservations[reserve] = claim, self.clock.monotonic()
             return True
         raise public_errors.TableOutcomeUnknownError(
             f"the quarantine record of request {fingerprint} could not be "
@@ -713,7 +716,7 @@
             return None
         if old.verdict is records.Verdict.CONVICTED:
             self._cache(old)
-            raise self._convicted(old)
+            self._check_probation(old)
         if old.claim not in ("", attempt_id) and not self._claim_ended(old):
             raise errors.RefusedError(
                 "the request was in flight when an engine crashed, and its "
@@ -848,15 +851,18 @@
         age = self.clock.monotonic() - self.known_since[fingerprint]
         return rules.lifetime(record.verdict).total_seconds() - age
 
-    def _convicted(
-        self, record: records.QuarantineRecord
-    ) -> errors.QuarantinedError:
-        seconds = self._seconds_left(record.fingerprint)
+    def _check_probation(self, record: records.QuarantineRecord) -> None:
+        """Raises QuarantinedError until a convicted request may be claimed."""
+        age = self.clock.monotonic() - self.known_since[record.fingerprint]
+        period = self.policy.rejection_period(record.reruns)
+        seconds = period.total_seconds() - age
+        if seconds <= 0:
+            return
         count = "two" if len(record.engines) <= 2 else str(len(record.engines))
-        return errors.QuarantinedError(
+        raise errors.QuarantinedError(
             f"this request crashed {count} engines and is rejected for another "
             f"{seconds:.0f} s unless its content is changed",
-            retry_after=datetime.timedelta(seconds=max(0.0, seconds)),
+            retry_after=datetime.timedelta(seconds=seconds),
         )
 
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -45,7 +45,7 @@
         engines: the engines that crashed while it was in flight, in order; of
             a cleared request, those before it ran to completion.
         claim: ID of the attempt that retries the request, else empty.
-        reruns: claims that ended without showing whether it crashes engines.
+        reruns: claims so far, without those whose attempt did not run.
     """
 
     fingerprint: str
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -30,16 +30,29 @@
         free_crashes: crashes up to which a suspect runs without a claim.
         convicting_crashes: crashes that convict a suspect although none of
             them was under a claim; None if these never convict.
-        max_reruns: claims with an unknown outcome that convict a suspect; None
-            for no limit.
+        max_reruns: claims without a good end after which a request is rejected
+            for `CONVICTION_LIFETIME`; None for no limit.
+        probation: how long a convicted request is rejected before it may be
+            claimed once more, by the number of claims before the last one.
         claim_lifetime: time after which a claim counts as abandoned.
     """
 
     free_crashes: int
     convicting_crashes: int | None
     max_reruns: int | None
+    probation: tuple[datetime.timedelta, ...]
     claim_lifetime: datetime.timedelta
 
+    def rejection_period(self, reruns: int) -> datetime.timedelta:
+        """Returns how long a convicted request is rejected.
+
+        Args:
+            reruns: claims of the request without a good end.
+        """
+        if 0 < reruns <= len(self.probation):
+            return self.probation[reruns - 1]
+        return CONVICTION_LIFETIME
+
 
 # The owner of an engine runs one suspect at a time there, so that a second
 # crash points to the request.
@@ -47,16 +60,19 @@
     free_crashes=0,
     convicting_crashes=2,
     max_reruns=None,
+    probation=(),
     claim_lifetime=SUSPECT_LIFETIME,
 )
 
 # Nodes share the engines, and all requests beside the cause of a crash are
 # suspects. They continue elsewhere at once; the few that were in flight at a
-# second crash are separated from each other.
+# second crash are separated from each other. An innocent request beside several
+# causes is convicted nevertheless, so that verdicts are tried again.
 SHARED_ENGINES = Policy(
     free_crashes=1,
     convicting_crashes=None,
     max_reruns=3,
+    probation=(datetime.timedelta(seconds=10), datetime.timedelta(minutes=5)),
     claim_lifetime=datetime.timedelta(seconds=30),
 )
 
