Quarantine: view, table and rules apart; crashes before a good run are remembered

Read once more for what concurrent writes do to it: - Merging a cleared record with a later crash was not the same when repeated, so that a write without a reply could count a cleared crash again. Batches are smaller. - A claim's crash convicted all fingerprints of the request, those that were not claimed for an hour at once. Only the claimed one is on probation. - Two writers at a time could drop a change that neither had written: changes are dropped by identity, and one flush runs at a time. - Unwritten changes are bounded; a full view drops 100 records at once, the oldest of the caller with the most, convicted ones last.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -198,7 +198,9 @@
                     fingerprint,
                     customer=call.request.raw.caller_address,
                     engine_id=_name(run.engine),
-                    claim=run.claim,
+                    # The claim is on one of them; the others are not on
+                    # probation, so that it alone may convict.
+                    claim=run.claim if fingerprint == run.fingerprint else "",
                     request_id=call.request.request_id,
                 )
         self._end_claim(run, ran=True)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -15,12 +15,10 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable, Iterable
 import datetime
 import functools
 from typing import Protocol, final
-import uuid
 
 import mode
 
@@ -29,6 +27,8 @@
 from _dogwoodhinge import supervision
 from _dogwoodhinge.peer import peer_pb2
 from _dogwoodhinge.quarantine import broadcast
+from _dogwoodhinge.quarantine import record_table
+from _dogwoodhinge.quarantine import record_view
 from _dogwoodhinge.quarantine import records
 from _dogwoodhinge.quarantine import rules
 from dogwoodhinge import errors as public_errors
@@ -38,15 +38,13 @@
 CLAIM_RETRY_AFTER = datetime.timedelta(seconds=5)
 POLL_INTERVAL = datetime.timedelta(seconds=5)
 MAX_WRITE_ATTEMPTS = 4
-PAGE_ROWS = 100
-MAX_CACHED_RECORDS = 4_000  # about 2 MB
 
 # A crash makes suspects of all requests in flight; their rows are written
 # together.
 WRITE_DELAY = datetime.timedelta(milliseconds=20)
 WRITE_RETRY_DELAY = datetime.timedelta(milliseconds=300)
-MAX_BATCH_RECORDS = 40
-MAX_SINGLE_READS = 2  # the rows of more records are read together
+MAX_BATCH_RECORDS = 30
+MAX_BATCH_ENGINES = 15
 MAX_UNWRITTEN_SENT = 64
 
 Change = Callable[
@@ -54,21 +52,6 @@
 ]
 
 
-class Table(Protocol):
-    """The part of `ports.TableService` that holds the records."""
-
-    async def get(self, table: str, key: str) -> models.Row | None:
-        """Reads one row."""
-
-    async def scan(
-        self, table: str, *, prefix: str = "", after: str = "", limit: int = 100
-    ) -> tuple[models.Row, ...]:
-        """Reads rows in key order."""
-
-    async def commit(self, transaction: models.Transaction) -> None:
-        """Writes rows if they have the expected versions."""
-
-
 class Reporter(Protocol):
     """Logs that a record has changed."""
 
@@ -93,20 +76,18 @@
     """Tracks suspects and convicted requests, and grants claims to retry.
 
     Attributes:
-        cached_records: records by fingerprint, from the table and from peers.
-        known_since: monotonic second at which a record last changed here.
+        view: the records that this node knows, from the table and from peers.
+        cached_records: the records of the view, by fingerprint.
         unwritten_changes: changes by fingerprint that are not in the table.
         ended_claims: engines to be freed, with the claim that reserved them.
         reservations: claims by reserved engine, with the monotonic second at
             which this node learned of them.
-        evicted: records dropped for lack of space, whose rows are removed next.
-        counts: number of changes of records, by the new verdict.
     """
 
     def __init__(
         self,
         *,
-        table: Table,
+        table: record_table.Table,
         policy: rules.Policy,
         clock: ports.Clock,
         report: Reporter,
@@ -127,30 +108,24 @@
             cleans: returns whether this node removes expired rows.
         """
         super().__init__()
-        self.table = table
+        self.table = record_table.RecordTable(table=table, clock=clock)
         self.policy = policy
         self.clock = clock
         self.report = report
         self.report_event = report_event
         self.broadcaster = broadcaster
         self.cleans = cleans
-        self.cached_records: dict[str, records.QuarantineRecord] = {}
-        self.known_since: dict[str, float] = {}
+        self.view = record_view.RecordView(clock)
+        self.cached_records = self.view.records
         self.unwritten_changes: dict[str, list[Change]] = {}
         self.ended_claims: dict[str, str] = {}
         self.reservations: dict[str, tuple[str, float]] = {}
-        self.evicted: set[str] = set()
-        self.counts: collections.Counter[records.Verdict] = (
-            collections.Counter()
-        )
+        self.writing = asyncio.Lock()
         self.has_unwritten = asyncio.Event()
 
     def find(self, fingerprint: str) -> records.QuarantineRecord | None:
         """Returns the record of a suspect or convicted request."""
-        record = self._cached_record(fingerprint)
-        if record is None or record.verdict is records.Verdict.CLEARED:
-            return None
-        return record
+        return self.view.find(fingerprint)
 
     def needs_claim(self, fingerprint: str) -> bool:
         """Returns whether the next run of a request has to be claimed.
@@ -263,11 +238,10 @@
         *,
         policy: rules.Policy,
     ) -> Change:
-        known_since = self.known_since.get(crash.fingerprint)
+        window = rules.SAME_CRASH_WINDOW.total_seconds()
         repeated = (
-            known_since is not None
-            and self.clock.monotonic() - known_since
-            >= rules.SAME_CRASH_WINDOW.total_seconds()
+            crash.fingerprint in self.cached_records
+            and self.view.age(crash.fingerprint) >= window
         )
         return functools.partial(
             rules.after_crash,
@@ -334,12 +308,14 @@
         self, fingerprint: str, change: Change, *, request_id: str = ""
     ) -> None:
         """Applies a change to this node's view and leaves it to be written."""
-        old = self._cached_record(fingerprint)
+        old = self.view.get(fingerprint)
         changed = change(old)
         if changed is None or changed == old:
             return
-        self._cache(changed)
+        self.view.put(changed)
         self.unwritten_changes.setdefault(fingerprint, []).append(change)
+        if len(self.unwritten_changes) > record_view.MAX_RECORDS:
+            del self.unwritten_changes[next(iter(self.unwritten_changes))]
         self.has_unwritten.set()
         if request_id:
             self.report(changed, request_id=request_id)
@@ -354,9 +330,9 @@
             engine_id=conviction.engine_id,
         )
         if conviction.convicted_at_ms:
-            self._cache(rules.convicted(record))
-        elif self._cached_record(conviction.fingerprint) is None:
-            self._cache(record)
+            self.view.put(rules.convicted(record))
+        elif self.view.get(conviction.fingerprint) is None:
+            self.view.put(record)
 
     def unwritten(self) -> list[records.QuarantineRecord]:
         """Returns records with changes that are not in the table yet."""
@@ -380,10 +356,10 @@
         if write:
             self._apply(record.fingerprint, merge)
             return
-        old = self._cached_record(record.fingerprint)
+        old = self.view.get(record.fingerprint)
         changed = merge(old)
         if changed != old:
-            self._cache(changed)
+            self.view.put(changed)
 
     def apply_row(self, key: str, value: bytes | None) -> None:
         """Applies a row of the table that has changed, or was removed."""
@@ -393,7 +369,7 @@
             elif value is not None:
                 self._apply_record(records.decode(value))
             elif key not in self.unwritten_changes:
-                self._forget(key)
+                self.view.forget(key)
         except records.InvalidRecordError as error:
             self._report_unreadable(key, error)
 
@@ -405,12 +381,12 @@
             self.apply_row(key, value)
         for fingerprint in self.cached_records.keys() - present:
             if fingerprint not in self.unwritten_changes:
-                self._forget(fingerprint)
+                self.view.forget(fingerprint)
 
     def _apply_record(self, record: records.QuarantineRecord) -> None:
         changed = self._with_unwritten(record.fingerprint, record)
         if changed is not None:
-            self._cache(changed)
+            self.view.put(changed)
 
     def _apply_reservation(self, key: str, value: bytes | None) -> None:
         engine_id = key.removeprefix(records.RESERVATION_PREFIX)
@@ -429,7 +405,7 @@
         if self.broadcaster is not None:
             self.broadcaster.reset_suspect_limit()
         await self.flush()
-        for row in await self._scan():
+        for row in await self.table.read_all():
             self.apply_row(row.key, row.value)
         await self.remove_expired()
 
@@ -470,8 +446,10 @@
             await self.flush()
         except public_errors.TableError as error:
             self._report_unavailable(error)
-            self.has_unwritten.set()
             return WRITE_RETRY_DELAY.total_seconds()
+        finally:
+            if self.unwritten_changes or self.ended_claims:
+                self.has_unwritten.set()
         return 0.0
 
     def _report_unavailable(self, error: public_errors.TableError) -> None:
@@ -493,10 +471,12 @@
         Raises:
             TableError: some may not have been written.
         """
-        while self.unwritten_changes or self.ended_claims:
-            batch = list(self.unwritten_changes)[:MAX_BATCH_RECORDS]
-            freed = dict(list(self.ended_claims.items())[:MAX_BATCH_RECORDS])
-            await self._write_batch(batch, freed)
+        async with self.writing:
+            while self.unwritten_changes or self.ended_claims:
+                await self._write_batch(
+                    list(self.unwritten_changes)[:MAX_BATCH_RECORDS],
+                    dict([*self.ended_claims.items()][:MAX_BATCH_ENGINES]),
+                )
 
     async def remove_expired(self) -> None:
         """Removes the rows of records and claims that have expired here.
@@ -506,20 +486,18 @@
         """
         expired = [
             fingerprint
-            for fingerprint in self.cached_records
-            if self._is_expired(fingerprint)
-            and fingerprint not in self.unwritten_changes
+            for fingerprint in self.view.expired()
+            if fingerprint not in self.unwritten_changes
         ]
-        expired += self.evicted - self.cached_records.keys()
         for begin in range(0, len(expired), MAX_BATCH_RECORDS):
             batch = expired[begin : begin + MAX_BATCH_RECORDS]
-            rows = await self._read_rows(batch)
-            await self._commit(
-                self._row_write(row.key, None, row) for row in rows.values()
+            rows = await self.table.read(batch)
+            await self.table.commit(
+                self.table.write(row.key, None, row) for row in rows.values()
             )
             for fingerprint in batch:
-                self._forget(fingerprint)
-            self.evicted.difference_update(batch)
+                self.view.forget(fingerprint)
+            self.view.evicted.difference_update(batch)
         for engine_id, (claim, _) in tuple(self.reservations.items()):
             if self._is_abandoned(engine_id, claim):
                 self.ended_claims[engine_id] = claim
@@ -531,13 +509,13 @@
         """Writes the changes of some records and frees some engines."""
         for _ in range(MAX_WRITE_ATTEMPTS):
             pending = {
-                fingerprint: len(self.unwritten_changes[fingerprint])
+                fingerprint: tuple(self.unwritten_changes[fingerprint])
                 for fingerprint in fingerprints
                 if fingerprint in self.unwritten_changes
             }
             cached = {f: self.cached_records.get(f) for f in pending}
             keys = {records.reservation_key(e): e for e in freed}
-            rows = await self._read_rows([*pending, *keys])
+            rows = await self.table.read([*pending, *keys])
             written: dict[str, records.QuarantineRecord] = {}
             writes = []
             for fingerprint in pending:
@@ -549,16 +527,16 @@
                 written[fingerprint] = changed
                 if changed != old:
                     writes.append(
-                        self._row_write(
+                        self.table.write(
                             fingerprint, records.encode(changed), row
                         )
                     )
             for key, engine_id in keys.items():
                 row = rows.get(key)
                 if row is not None and _reserved_by(row) == freed[engine_id]:
-                    writes.append(self._row_write(key, None, row))
+                    writes.append(self.table.write(key, None, row))
             try:
-                await self._commit(writes)
+                await self.table.commit(writes)
             except (
                 public_errors.TableConflictError,
                 public_errors.TableOutcomeUnknownError,
@@ -573,19 +551,19 @@
 
     def _finish_batch(
         self,
-        pending: dict[str, int],
+        pending: dict[str, tuple[Change, ...]],
         cached: dict[str, records.QuarantineRecord | None],
         written: dict[str, records.QuarantineRecord],
         freed: dict[str, str],
     ) -> None:
-        for fingerprint, count in pending.items():
-            self._drop_written(fingerprint, count)
+        for fingerprint, changes in pending.items():
+            self._drop_written(fingerprint, changes)
             # A row that was read from the table meanwhile is newer.
             unchanged = (
                 self.cached_records.get(fingerprint) is (cached[fingerprint])
             )
             if unchanged and fingerprint in written:
-                self._cache(written[fingerprint])
+                self.view.put(written[fingerprint])
         for engine_id, claim in freed.items():
             if self.ended_claims.get(engine_id) == claim:
                 del self.ended_claims[engine_id]
@@ -600,9 +578,15 @@
             record = change(record)
         return record
 
-    def _drop_written(self, fingerprint: str, count: int) -> None:
-        """Drops the first changes of a record, which are in the table now."""
-        left = self.unwritten_changes.get(fingerprint, [])[count:]
+    def _drop_written(
+        self, fingerprint: str, written: tuple[Change, ...]
+    ) -> None:
+        """Drops changes of a record that are in the table now."""
+        left = [
+            change
+            for change in self.unwritten_changes.get(fingerprint, ())
+            if not any(change is done for done in written)
+        ]
         if left:
             self.unwritten_changes[fingerprint] = left
         else:
@@ -611,7 +595,7 @@
     async def _end_claim(
         self, fingerprint: str, attempt_id: str, *, cleared: bool
     ) -> None:
-        row = await self.table.get(records.TABLE, fingerprint)
+        row = await self.table.get(fingerprint)
         record = self._decode(row)
         if row is None or record is None or record.claim != attempt_id:
             return  # convicted in the meantime, or claimed by another attempt
@@ -620,10 +604,10 @@
             if cleared
             else rules.claim_released(record, attempt_id, ran=True)
         )
-        await self._commit(
-            [self._row_write(fingerprint, records.encode(ended), row)]
+        await self.table.commit(
+            [self.table.write(fingerprint, records.encode(ended), row)]
         )
-        self._cache(ended)
+        self.view.put(ended)
 
     async def _update(
         self,
@@ -652,29 +636,29 @@
             TableError: the row may or may not have been changed.
         """
         for _ in range(MAX_WRITE_ATTEMPTS):
-            row = await self.table.get(records.TABLE, fingerprint)
-            unwritten = len(self.unwritten_changes.get(fingerprint, ()))
+            row = await self.table.get(fingerprint)
+            unwritten = tuple(self.unwritten_changes.get(fingerprint, ()))
             old = self._with_unwritten(fingerprint, self._decode(row))
             if old is None:
-                old = self._cached_record(fingerprint)
+                old = self.view.get(fingerprint)
             changed = change(old)
             if changed is None:
-                self._forget(fingerprint)
+                self.view.forget(fingerprint)
                 self._drop_written(fingerprint, unwritten)
                 return False
             writes = [
-                self._row_write(fingerprint, records.encode(changed), row)
+                self.table.write(fingerprint, records.encode(changed), row)
             ]
             if reserve and changed.claim == claim:
                 writes.append(await self._reservation_write(reserve, claim))
             try:
-                await self._commit(writes)
+                await self.table.commit(writes)
             except (
                 public_errors.TableConflictError,
                 public_errors.TableOutcomeUnknownError,
             ):
                 continue  # reads the current row and retries
-            self._cache(changed)
+            self.view.put(changed)
             self._drop_written(fingerprint, unwritten)
             if len(writes) > 1:
                 self.reservations[reserve] = claim, self.clock.monotonic()
@@ -688,7 +672,7 @@
         self, engine_id: str, claim: str
     ) -> models.Write:
         key = records.reservation_key(engine_id)
-        row = await self.table.get(records.TABLE, key)
+        row = await self.table.get(key)
         if row is not None:
             self.apply_row(key, row.value)
             holder = _reserved_by(row)
@@ -698,7 +682,7 @@
                     retry_after=CLAIM_RETRY_AFTER,
                 )
         value = records.encode_reservation(records.Reservation(claim=claim))
-        return self._row_write(key, value, row)
+        return self.table.write(key, value, row)
 
     def _is_abandoned(self, engine_id: str, claim: str) -> bool:
         known_claim, since = self.reservations.get(engine_id, (claim, 0.0))
@@ -715,7 +699,7 @@
         if old is None or old.verdict is records.Verdict.CLEARED:
             return None
         if old.verdict is records.Verdict.CONVICTED:
-            self._cache(old)
+            self.view.put(old)
             self._check_probation(old)
         if old.claim not in ("", attempt_id) and not self._claim_ended(old):
             raise errors.RefusedError(
@@ -736,52 +720,10 @@
         """Returns whether a claim has outlasted its lifetime."""
         known = self.cached_records.get(record.fingerprint)
         if known is None or known.claim != record.claim:
-            self._cache(record)
-        since = self.known_since[record.fingerprint]
-        age = self.clock.monotonic() - since
+            self.view.put(record)
+        age = self.view.age(record.fingerprint)
         return age >= self.policy.claim_lifetime.total_seconds()
 
-    async def _scan(self) -> list[models.Row]:
-        rows: list[models.Row] = []
-        after = ""
-        while True:
-            page = await self.table.scan(
-                records.TABLE, after=after, limit=PAGE_ROWS
-            )
-            rows += page
-            if len(page) < PAGE_ROWS:
-                return rows
-            after = page[-1].key
-
-    async def _read_rows(self, keys: list[str]) -> dict[str, models.Row]:
-        if len(keys) > MAX_SINGLE_READS:
-            wanted = set(keys)
-            return {
-                row.key: row for row in await self._scan() if row.key in wanted
-            }
-        found = [await self.table.get(records.TABLE, key) for key in keys]
-        return {row.key: row for row in found if row is not None}
-
-    def _row_write(
-        self, key: str, value: bytes | None, row: models.Row | None
-    ) -> models.Write:
-        version = models.ABSENT if row is None else row.version
-        now_ms = int(self.clock.now().timestamp() * 1_000)
-        return models.Write(
-            table=records.TABLE,
-            key=key,
-            value=value,
-            # Versions increase with time: a row that was deleted and inserted
-            # again never has a version that an earlier writer expects.
-            version=max(version + 1, now_ms),
-            expected=version,
-        )
-
-    async def _commit(self, writes: Iterable[models.Write]) -> None:
-        transaction = models.Transaction(uuid.uuid4().hex, writes=tuple(writes))
-        if transaction.writes:
-            await self.table.commit(transaction)
-
     def _decode(
         self, row: models.Row | None
     ) -> records.QuarantineRecord | None:
@@ -794,66 +736,13 @@
             self._report_unreadable(row.key, error)
             return None
         known = self.cached_records.get(record.fingerprint)
-        if known == record and self._is_expired(record.fingerprint):
+        if known == record and self.view.is_expired(record.fingerprint):
             return None
         return record
 
-    # This node's view.
-
-    def _cache(self, record: records.QuarantineRecord) -> None:
-        old = self.cached_records.pop(record.fingerprint, None)
-        self.cached_records[record.fingerprint] = record
-        if old != record:
-            self.known_since[record.fingerprint] = self.clock.monotonic()
-            if old is None or old.verdict is not record.verdict:
-                self.counts[record.verdict] += 1
-        if len(self.cached_records) > MAX_CACHED_RECORDS:
-            self._evict()
-
-    def _evict(self) -> None:
-        """Drops a record of the customer with the most records.
-
-        That is its oldest one, convicted requests last.
-        """
-        owners = collections.Counter(
-            record.customer for record in self.cached_records.values()
-        )
-        ((customer, _),) = owners.most_common(1)
-        oldest = min(
-            (r for r in self.cached_records.values() if r.customer == customer),
-            key=lambda r: (
-                r.verdict is records.Verdict.CONVICTED,
-                self.known_since[r.fingerprint],
-            ),
-        ).fingerprint
-        self._forget(oldest)
-        self.unwritten_changes.pop(oldest, None)
-        if self.cleans():
-            self.evicted.add(oldest)
-
-    def _forget(self, fingerprint: str) -> None:
-        self.cached_records.pop(fingerprint, None)
-        self.known_since.pop(fingerprint, None)
-
-    def _cached_record(
-        self, fingerprint: str
-    ) -> records.QuarantineRecord | None:
-        if fingerprint in self.cached_records and self._is_expired(fingerprint):
-            return None
-        return self.cached_records.get(fingerprint)
-
-    def _is_expired(self, fingerprint: str) -> bool:
-        return self._seconds_left(fingerprint) <= 0
-
-    def _seconds_left(self, fingerprint: str) -> float:
-        """Returns the rest of a cached record's lifetime."""
-        record = self.cached_records[fingerprint]
-        age = self.clock.monotonic() - self.known_since[fingerprint]
-        return rules.lifetime(record.verdict).total_seconds() - age
-
     def _check_probation(self, record: records.QuarantineRecord) -> None:
         """Raises QuarantinedError until a convicted request may be claimed."""
-        age = self.clock.monotonic() - self.known_since[record.fingerprint]
+        age = self.view.age(record.fingerprint)
         period = self.policy.rejection_period(record.reruns)
         seconds = period.total_seconds() - age
         if seconds <= 0:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -42,8 +42,9 @@
     Attributes:
         fingerprint: digest of the request.
         customer: customer or caller that sent it.
-        engines: the engines that crashed while it was in flight, in order; of
-            a cleared request, those before it ran to completion.
+        engines: the engines that crashed while it was in flight, in order,
+            since it last ran to completion.
+        cleared_engines: those that crashed before.
         claim: ID of the attempt that retries the request, else empty.
         reruns: claims so far, without those whose attempt did not run.
     """
@@ -52,6 +53,7 @@
     verdict: Verdict
     customer: str
     engines: tuple[str, ...] = ()
+    cleared_engines: tuple[str, ...] = ()
     claim: str = ""
     reruns: int = 0
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -130,13 +130,16 @@
 ) -> records.QuarantineRecord:
     if old is None:
         return crash
-    known = crash.engine_id in old.engines
-    if old.verdict is records.Verdict.CLEARED:
-        return crash if repeated or not known else old
-    if known and not repeated:
+    known = (*old.engines, *old.cleared_engines)
+    if crash.engine_id in known and not repeated:
         return old
+    verdict = old.verdict
+    if verdict is records.Verdict.CLEARED:
+        verdict = records.Verdict.SUSPECT
     return dataclasses.replace(
-        old, engines=_latest(*old.engines, crash.engine_id)
+        old,
+        verdict=verdict,
+        engines=_latest(*old.engines, crash.engine_id),
     )
 
 
@@ -150,32 +153,36 @@
     """Returns a record with the crashes of two, except the cleared ones."""
     if old is None:
         return other
-    cleared_ones = [
-        record
+    cleared_engines = _union(old.cleared_engines, other.cleared_engines)
+    engines = tuple(
+        engine
+        for engine in _union(old.engines, other.engines)
+        if engine not in cleared_engines
+    )
+    convicting = any(
+        record.verdict is records.Verdict.CONVICTED
+        and not set(record.engines) & set(cleared_engines)
         for record in (old, other)
-        if record.verdict is records.Verdict.CLEARED
-    ]
-    if len(cleared_ones) == 1:
-        (cleared_one,) = cleared_ones
-        rest = other if cleared_one is old else old
-        since = tuple(
-            engine
-            for engine in rest.engines
-            if engine not in cleared_one.engines
-        )
-        if not since:
-            return cleared_one
-        return dataclasses.replace(rest, engines=since)
-    engines = _latest(
-        *old.engines,
-        *(engine for engine in other.engines if engine not in old.engines),
     )
     united = dataclasses.replace(
-        old, engines=engines, reruns=max(old.reruns, other.reruns)
+        old,
+        engines=engines,
+        cleared_engines=cleared_engines,
+        reruns=max(old.reruns, other.reruns),
     )
-    if records.Verdict.CONVICTED in (old.verdict, other.verdict):
+    if not engines and not convicting:
+        return cleared(united)
+    if convicting:
         return convicted(united)
-    return united
+    if old.verdict is records.Verdict.RERUNNING:
+        return united
+    return dataclasses.replace(
+        united, verdict=records.Verdict.SUSPECT, claim=""
+    )
+
+
+def _union(one: tuple[str, ...], other: tuple[str, ...]) -> tuple[str, ...]:
+    return _latest(*one, *(engine for engine in other if engine not in one))
 
 
 def convicted(record: records.QuarantineRecord) -> records.QuarantineRecord:
@@ -228,7 +235,12 @@
     not written to the table.
     """
     return dataclasses.replace(
-        record, verdict=records.Verdict.CLEARED, claim="", reruns=0
+        record,
+        verdict=records.Verdict.CLEARED,
+        engines=(),
+        cleared_engines=_union(record.cleared_engines, record.engines),
+        claim="",
+        reruns=0,
     )
 
 
