A claim convicts only while it holds

A request that ran to completion at another node while a claimed run of it was in flight was convicted all the same if that run's engine crashed afterwards: a popular request beside the cause of a crash. The record had been cleared and named no claim any more.

The crash now counts as one without a claim.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -102,14 +102,15 @@
     Args:
         old: record before the crash.
         crash: record of a suspect for this crash.
-        claim: claim that the request ran under, empty without one.
+        claim: claim that the request ran under, empty without one. It convicts
+            only while it holds: the request may have been cleared meanwhile.
         policy: which crashes convict.
         repeated: whether an engine that is named in `old` has crashed again,
             rather than being reported again.
     """
     if old is not None and old.verdict is records.Verdict.CONVICTED:
         return old
-    if claim:
+    if claim and old is not None and old.claim == claim:
         return convicted(_with_crash(old, crash, repeated=True))
     updated = _with_crash(old, crash, repeated=repeated)
     limit = policy.convicting_crashes
--- a/packages/dogwoodhinge/testing/quarantine/test_rules.py
+++ b/packages/dogwoodhinge/testing/quarantine/test_rules.py
@@ -67,6 +67,12 @@
             record(RERUNNING, "e1", "e2", "e9", claim="a", reruns=1),
             id="beside the claim",
         ),
+        pytest.param(
+            cleared("e1", "e2"),
+            "a",
+            record(SUSPECT, "e9", cleared_engines=("e1", "e2")),
+            id="under a claim that no longer holds",
+        ),
         pytest.param(cleared("e9"), "", cleared("e9"), id="before it"),
         pytest.param(
             cleared("e1"),
--- a/tools/check_clocks.py
+++ b/tools/check_clocks.py
@@ -17,7 +17,7 @@
     "_dogwoodhinge/config/append.py": "time in the history of contracts",
     "_dogwoodhinge/dispatch/intents.py": "expiry in rows that nodes share",
     "_dogwoodhinge/quarantine/broadcast.py": "time in messages, not compared",
-    "_dogwoodhinge/quarantine/quarantine.py": "versions of rows grow with time",
+    "_dogwoodhinge/quarantine/record_table.py": "versions of rows that grow",
 }
 
 TIME_OF_DAY_CALLS = frozenset(
