The newest limit for heads applies to open connections

Cause: the parser of a connection keeps the limit with which it was created. Other limits were read anew for each request.

The parser of an idle connection is replaced when the first bytes of a head arrive and the limit has changed. test_head_limit_of_an_open_connection_is_the_newest failed before (431).

--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import select
 import socket
@@ -70,9 +71,19 @@
         *,
         role: type[h11.CLIENT] | type[h11.SERVER],
         max_head_bytes: int,
+        newest_max_head_bytes: Callable[[], int] | None = None,
     ) -> None:
+        """Creates one side of a connection.
+
+        Args:
+            role: the side.
+            max_head_bytes: limit for heads.
+            newest_max_head_bytes: returns the limit for the next head; None if
+                it does not change.
+        """
         self.role = role
         self.max_head_bytes = max_head_bytes
+        self.newest_max_head_bytes = newest_max_head_bytes
         self.parser = self._new_parser()
         self.transport: asyncio.Transport | None = None
         self.lost = asyncio.Event()
@@ -121,6 +132,8 @@
         if self.pooled:
             self.abort()
             return
+        if not self.message_bytes:
+            self._apply_newest_limit()
         self.parser.receive_data(data)
         self.unparsed_bytes += len(data)
         self.message_bytes += len(data)
@@ -131,6 +144,16 @@
             self._pause_reading()
         self._readable.set()
 
+    def _apply_newest_limit(self) -> None:
+        """Replaces the parser before a head to which another limit applies."""
+        if self.newest_max_head_bytes is None:
+            return
+        newest = self.newest_max_head_bytes()
+        idle = self.parser.our_state is self.parser.their_state is h11.IDLE
+        if newest != self.max_head_bytes and idle:
+            self.max_head_bytes = newest
+            self.parser = self._new_parser()
+
     def eof_received(self) -> bool:
         """Records that the peer will send no more data."""
         self.eof = True
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -344,7 +344,9 @@
 
     def _make_connection(self) -> connection_lib.Connection:
         connection = connection_lib.Connection(
-            role=h11.SERVER, max_head_bytes=self.limits().head_bytes
+            role=h11.SERVER,
+            max_head_bytes=self.limits().head_bytes,
+            newest_max_head_bytes=lambda: self.limits().head_bytes,
         )
         self.connections.add(connection)
         task = asyncio.get_running_loop().create_task(self._serve(connection))
--- a/packages/dogwoodhinge/testing/http1/test_pool.py
+++ b/packages/dogwoodhinge/testing/http1/test_pool.py
@@ -1,7 +1,11 @@
 """Tests of the pool of connections to one address."""
 
+import asyncio
+
+import h11
 import pytest
 
+from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import errors
 from _dogwoodhinge.http1 import pool as pool_lib
 
@@ -22,3 +26,53 @@
     pool = pool_lib.ConnectionPool(host=host, port=port, limit=1)
     with pytest.raises(errors.ConnectError):
         await pool.acquire()
+
+
+class FullTransport(asyncio.Transport):
+    """A transport whose peer does not read."""
+
+    def __init__(self, unsent: int) -> None:
+        super().__init__()
+        self.unsent = unsent
+        self.closed = False
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def write(self, data: bytes) -> None:
+        del data
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+
+@pytest.mark.parametrize("unsent", [0, 1])
+async def test_connection_with_an_unsent_body_is_not_used_again(
+    unsent: int,
+) -> None:
+    """An engine may answer before it has read a body, and read on later."""
+    pool = pool_lib.ConnectionPool(host="127.0.0.1", port=1, limit=1)
+    connection = connection_lib.Connection(
+        role=h11.CLIENT, max_head_bytes=1_000
+    )
+    transport = FullTransport(unsent)
+    connection.connection_made(transport)
+    connection.send(
+        h11.Request(
+            method="POST",
+            target="/",
+            headers=[("Host", "x"), ("Content-Length", "4")],
+        ),
+        h11.Data(data=b"body"),
+        h11.EndOfMessage(),
+    )
+    connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    while not isinstance(await connection.next_event(), h11.EndOfMessage):
+        pass
+    pool.in_use.add(connection)
+    pool.release(connection)
+    assert len(pool.idle) == (0 if unsent else 1)
+    assert transport.closed == bool(unsent)
--- a/packages/dogwoodhinge/testing/http1/test_server.py
+++ b/packages/dogwoodhinge/testing/http1/test_server.py
@@ -703,6 +703,27 @@
     assert answer == b"HTTP/1.1 200"
 
 
+async def test_head_limit_of_an_open_connection_is_the_newest(
+    harness: ServerHarness,
+) -> None:
+    """Heads that a newer configuration allows were rejected until a reconnect.
+
+    The limit applies to heads that arrive in more than one part.
+    """
+    harness.limits = dataclasses.replace(SHORT_LIMITS, head_bytes=300)
+    reader, writer = await harness.connect()
+    await harness.idle_connection()
+    harness.limits = server_lib.Limits()
+    long_head = POST.replace(b"\r\n\r\n", b"\r\nX: " + b"y" * 900 + b"\r\n\r\n")
+    for sent in (long_head[:600], long_head[600:] + b"body"):
+        writer.write(sent)
+        await asyncio.sleep(0.05)
+    async with asyncio.timeout(5):
+        answer = await reader.readexactly(len(b"HTTP/1.1 200"))
+    writer.close()
+    assert answer == b"HTTP/1.1 200"
+
+
 @pytest.mark.parametrize(
     ("sent", "event"),
     [
