--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -389,14 +389,18 @@
             self.view.put(changed)
 
     def _apply_reservation(self, key: str, value: bytes | None) -> None:
-        engine_id = key.removeprefix(records.RESERVATION_PREFIX)
         if value is None:
-            self.reservations.pop(engine_id, None)
+            for engine_id in tuple(self.reservations):
+                if records.reservation_key(engine_id) == key:
+                    del self.reservations[engine_id]
             return
-        claim = records.decode_reservation(value).claim
-        known = self.reservations.get(engine_id)
-        if known is None or known[0] != claim:
-            self.reservations[engine_id] = claim, self.clock.monotonic()
+        reservation = records.decode_reservation(value)
+        known = self.reservations.get(reservation.engine_id)
+        if known is None or known[0] != reservation.claim:
+            self.reservations[reservation.engine_id] = (
+                reservation.claim,
+                self.clock.monotonic(),
+            )
 
     # The table.
 
@@ -681,7 +685,9 @@
                     f"another suspect runs on engine {engine_id}",
                     retry_after=CLAIM_RETRY_AFTER,
                 )
-        value = records.encode_reservation(records.Reservation(claim=claim))
+        value = records.encode_reservation(
+            records.Reservation(engine_id=engine_id, claim=claim)
+        )
         return self.table.write(key, value, row)
 
     def _is_abandoned(self, engine_id: str, claim: str) -> bool:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import hashlib
 from typing import final
 
 import pydantic
@@ -12,6 +13,7 @@
 
 # Key prefix of the rows that reserve an engine for one suspect.
 RESERVATION_PREFIX = "engine/"
+KEY_DIGEST_BYTES = 16
 
 
 class InvalidRecordError(errors.DogwoodhingeError):
@@ -66,8 +68,14 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Reservation:
-    """An engine that runs no other suspect until the claim ends."""
+    """An engine that runs no other suspect until the claim ends.
 
+    Attributes:
+        engine_id: the engine.
+        claim: the claim.
+    """
+
+    engine_id: str
     claim: str
 
 
@@ -112,5 +120,9 @@
 
 
 def reservation_key(engine_id: str) -> str:
-    """Returns the key of the row that reserves an engine."""
-    return f"{RESERVATION_PREFIX}{engine_id}"
+    """Returns the key of the row that reserves an engine.
+
+    IDs of engines may be as long as the longest key of a table.
+    """
+    digest = hashlib.blake2b(engine_id.encode(), digest_size=KEY_DIGEST_BYTES)
+    return f"{RESERVATION_PREFIX}{digest.hexdigest()}"
