Quarantine: the policy of an outage is the node's own, without convictions

While the table is away a second crash without a claim convicts nobody. The code took the policy of shared engines for that, which has further limits; no difference in what happens today. One sentence of the module on probation.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -4,8 +4,8 @@
 crashes that its `rules.Policy` allows, it is retried only under a claim, which
 a single attempt gets by a conditional write; the same write may reserve the
 engine, so that no other suspect runs there. The retry either clears the suspect
-or, by a crash, convicts it: all nodes reject a convicted request until its
-record expires.
+or, by a crash, convicts it: all nodes reject a convicted request until it may
+be claimed again or its record expires.
 
 Records are rows of a table, by the fingerprint of the request. A node that may
 wait writes a crash before it answers (`report_crash`). One that may not applies
@@ -16,6 +16,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+import dataclasses
 import datetime
 import functools
 from typing import Protocol, final
@@ -226,7 +227,7 @@
         if it ran under a claim: a node that loses its network connection loses
         all engines at once, which looks like several crashes.
         """
-        policy = rules.SHARED_ENGINES
+        policy = dataclasses.replace(self.policy, convicting_crashes=None)
         self._apply(
             crash.fingerprint, self._crash_change(crash, claim, policy=policy)
         )
