Claims count that reach an engine, once three engines have crashed

Each such claim was given back, and the next one followed at once, without any limit under load.

Found by reading what counts in the rule: a request that reaches an engine, whether it runs or not. From the third crash on a claim now counts unless its request was not sent at all. Before it, rejections of a suspect of two crashes cost nothing, as most of these are innocent.

A look at an engine that is removed meanwhile no longer keeps its connection.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/errors.py
@@ -36,6 +36,11 @@
         self.paused = paused
         self.sent = sent
 
+    @property
+    def reached_engine(self) -> bool:
+        """True if the engine received the request and rejected it."""
+        return self.sent and not self.unreachable
+
 
 class OutcomeUnknownError(GatewayError):
     """The request was sent and may have run, without a valid response.
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -24,6 +24,7 @@
 from _dogwoodhinge.gateway import errors
 from _dogwoodhinge.gateway import sender as sender_lib
 from _dogwoodhinge.quarantine import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import rules
 
 QUARANTINED = "quarantined"
 RERUN_IN_PROGRESS = "rerun_in_progress"
@@ -152,11 +153,7 @@
                 self.quarantine.record_success(
                     fingerprint, request_id=call.request.request_id
                 )
-        self._end_claim(run, ran=False)
-
-    def record_not_run(self, run: Run) -> None:
-        """Records that the engine did not run the request."""
-        self._end_claim(run, ran=False)
+        self._end_claim(run, rules.ClaimEnd.SURVIVED)
 
     async def record_failure(
         self, call: call_lib.Call, run: Run, error: BaseException
@@ -165,11 +162,19 @@
 
         Returns once it is known whether the engine has ended, or soon.
         """
-        if not isinstance(error, errors.OutcomeUnknownError):
-            self._end_claim(run, ran=not isinstance(error, errors.NotRunError))
+        if isinstance(error, errors.NotRunError):
+            self._end_claim(
+                run,
+                rules.ClaimEnd.SURVIVED
+                if error.reached_engine
+                else rules.ClaimEnd.NOT_SENT,
+            )
             return
-        if not error.ended_by_engine:
-            self._end_claim(run, ran=True)
+        if (
+            not isinstance(error, errors.OutcomeUnknownError)
+            or not error.ended_by_engine
+        ):
+            self._end_claim(run, rules.ClaimEnd.UNKNOWN)
             return
         look = asyncio.ensure_future(self._look(call, run))
         self.looks.add(look)
@@ -203,7 +208,7 @@
                     claim=run.claim if fingerprint == run.fingerprint else "",
                     request_id=call.request.request_id,
                 )
-        self._end_claim(run, ran=True)
+        self._end_claim(run, rules.ClaimEnd.UNKNOWN)
         return ended
 
     def _fingerprint_to_claim(self, call: call_lib.Call) -> str:
@@ -214,11 +219,11 @@
             "",
         )
 
-    def _end_claim(self, run: Run, *, ran: bool) -> None:
+    def _end_claim(self, run: Run, end: rules.ClaimEnd) -> None:
         if not run.claim:
             return
         self.quarantine.record_claim_end(
-            run.fingerprint, run.claim, engine_id=_name(run.engine), ran=ran
+            run.fingerprint, run.claim, engine_id=_name(run.engine), end=end
         )
         run.claim = ""
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -102,6 +102,9 @@
             new_connection = await self._open()
         finally:
             self.connecting -= 1
+        if self.closed:
+            new_connection.close()
+            return new_connection
         new_connection.idle_since = asyncio.get_running_loop().time()
         new_connection.pooled = True
         self.idle.append(new_connection)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -289,7 +289,12 @@
             self._apply(fingerprint, _cleared, request_id=request_id)
 
     def record_claim_end(
-        self, fingerprint: str, claim: str, *, engine_id: str, ran: bool
+        self,
+        fingerprint: str,
+        claim: str,
+        *,
+        engine_id: str,
+        end: rules.ClaimEnd,
     ) -> None:
         """Ends a claim and frees its engine.
 
@@ -297,11 +302,14 @@
             fingerprint: digest of the request.
             claim: the claim.
             engine_id: the engine that it reserved.
-            ran: whether the attempt ran, with an unknown outcome.
+            end: how the attempt ended.
         """
         self.ended_claims[engine_id] = claim
         self._apply(
-            fingerprint, functools.partial(_released, claim=claim, ran=ran)
+            fingerprint,
+            functools.partial(
+                _released, claim=claim, end=end, policy=self.policy
+            ),
         )
         self.has_unwritten.set()
 
@@ -607,7 +615,12 @@
         ended = (
             rules.cleared(record)
             if cleared
-            else rules.claim_released(record, attempt_id, ran=True)
+            else rules.claim_released(
+                record,
+                attempt_id,
+                end=rules.ClaimEnd.UNKNOWN,
+                policy=self.policy,
+            )
         )
         await self.table.commit(
             [self.table.write(fingerprint, records.encode(ended), row)]
@@ -769,9 +782,15 @@
 
 
 def _released(
-    old: records.QuarantineRecord | None, *, claim: str, ran: bool
+    old: records.QuarantineRecord | None,
+    *,
+    claim: str,
+    end: rules.ClaimEnd,
+    policy: rules.Policy,
 ) -> records.QuarantineRecord | None:
-    return None if old is None else rules.claim_released(old, claim, ran=ran)
+    if old is None:
+        return None
+    return rules.claim_released(old, claim, end=end, policy=policy)
 
 
 def _reserved_by(row: models.Row) -> str:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import datetime
+import enum
 from typing import final
 
 from _dogwoodhinge.quarantine import records
@@ -21,6 +22,14 @@
 MAX_NAMED_ENGINES = 8
 
 
+class ClaimEnd(enum.Enum):
+    """How a claimed retry ended that showed neither a crash nor a good run."""
+
+    NOT_SENT = "not_sent"
+    SURVIVED = "survived"  # the engine rejected it, or failed without a crash
+    UNKNOWN = "unknown"
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Policy:
@@ -30,8 +39,10 @@
         free_crashes: crashes up to which a suspect runs without a claim.
         convicting_crashes: crashes that convict a suspect although none of
             them was under a claim; None if these never convict.
-        max_reruns: claims without a good end after which a request is rejected
-            for `CONVICTION_LIFETIME`; None for no limit.
+        counted_crashes: crashes from which on each claim counts whose attempt
+            has reached an engine, also if the engine did not run it.
+        max_reruns: counted claims without a good end after which a request is
+            rejected for `CONVICTION_LIFETIME`; None for no limit.
         probation: how long a convicted request is rejected before it may be
             claimed once more, by the number of claims before the last one.
         claim_lifetime: time after which a claim counts as abandoned.
@@ -39,6 +50,7 @@
 
     free_crashes: int
     convicting_crashes: int | None
+    counted_crashes: int
     max_reruns: int | None
     probation: tuple[datetime.timedelta, ...]
     claim_lifetime: datetime.timedelta
@@ -59,6 +71,7 @@
 OWNED_ENGINES = Policy(
     free_crashes=0,
     convicting_crashes=2,
+    counted_crashes=2,
     max_reruns=None,
     probation=(),
     claim_lifetime=SUSPECT_LIFETIME,
@@ -71,6 +84,7 @@
 SHARED_ENGINES = Policy(
     free_crashes=1,
     convicting_crashes=None,
+    counted_crashes=3,
     max_reruns=3,
     probation=(datetime.timedelta(seconds=10), datetime.timedelta(minutes=5)),
     claim_lifetime=datetime.timedelta(seconds=30),
@@ -208,22 +222,31 @@
 
 
 def claim_released(
-    record: records.QuarantineRecord, claim: str, *, ran: bool
+    record: records.QuarantineRecord,
+    claim: str,
+    *,
+    end: ClaimEnd,
+    policy: Policy,
 ) -> records.QuarantineRecord:
     """Returns the record of a suspect whose retry has ended.
 
     Args:
         record: the record.
         claim: the claim that ends; another one stays.
-        ran: whether the retry ran, with an unknown outcome.
+        end: how the retry ended.
+        policy: which claims count.
     """
     if record.claim != claim:
         return record
+    counts = end is ClaimEnd.UNKNOWN or (
+        end is ClaimEnd.SURVIVED
+        and len(record.engines) >= policy.counted_crashes
+    )
     return dataclasses.replace(
         record,
         verdict=records.Verdict.SUSPECT,
         claim="",
-        reruns=record.reruns if ran else record.reruns - 1,
+        reruns=record.reruns if counts else record.reruns - 1,
     )
 
 
--- a/packages/dogwoodhinge/testing/quarantine/test_quarantine.py
+++ b/packages/dogwoodhinge/testing/quarantine/test_quarantine.py
@@ -15,6 +15,10 @@
 from dogwoodhinge_lab import dispatch_fakes
 from dogwoodhinge_lab import memory_table
 
+UNKNOWN = rules.ClaimEnd.UNKNOWN
+SURVIVED = rules.ClaimEnd.SURVIVED
+NOT_SENT = rules.ClaimEnd.NOT_SENT
+
 MakeQuarantine = Callable[[], quarantine_lib.Quarantine]
 
 
@@ -95,7 +99,7 @@
     assert await first.claim("f1", "a1", engine_id="e3")
     with pytest.raises(errors.RefusedError, match="still in progress"):
         await second.claim("f1", "a2", engine_id="e4")
-    first.record_claim_end("f1", "a1", engine_id="e3", ran=True)
+    first.record_claim_end("f1", "a1", engine_id="e3", end=UNKNOWN)
     await first.flush()
     assert await second.claim("f1", "a2", engine_id="e3")
 
@@ -142,7 +146,7 @@
     crash(node, "e1", "e2")
     for number in range(3):
         assert await node.claim("f1", f"a{number}", engine_id="e3")
-        node.record_claim_end("f1", f"a{number}", engine_id="e3", ran=True)
+        node.record_claim_end("f1", f"a{number}", engine_id="e3", end=UNKNOWN)
         await node.flush()
     with pytest.raises(errors.QuarantinedError):
         await node.claim("f1", "a9", engine_id="e3")
@@ -154,7 +158,41 @@
     crash(node, "e1", "e2")
     for number in range(5):
         assert await node.claim("f1", f"a{number}", engine_id="e3")
-        node.record_claim_end("f1", f"a{number}", engine_id="e3", ran=False)
+        node.record_claim_end("f1", f"a{number}", engine_id="e3", end=SURVIVED)
+        await node.flush()
+    assert node.cached_records["f1"].reruns == 0
+
+
+async def test_rejected_claims_count_once_three_engines_have_crashed(
+    node: quarantine_lib.Quarantine,
+) -> None:
+    """Full or failing engines were sent such a request without a limit."""
+    crash(node, "e1", "e2", "e3")
+    for number in range(3):
+        assert await node.claim("f1", f"a{number}", engine_id="e4")
+        node.record_claim_end(
+            "f1",
+            f"a{number}",
+            engine_id="e4",
+            end=SURVIVED,
+        )
+        await node.flush()
+    with pytest.raises(errors.QuarantinedError):
+        await node.claim("f1", "a9", engine_id="e4")
+
+
+async def test_claim_that_was_not_sent_does_not_count(
+    node: quarantine_lib.Quarantine,
+) -> None:
+    crash(node, "e1", "e2", "e3")
+    for number in range(5):
+        assert await node.claim("f1", f"a{number}", engine_id="e4")
+        node.record_claim_end(
+            "f1",
+            f"a{number}",
+            engine_id="e4",
+            end=NOT_SENT,
+        )
         await node.flush()
     assert node.cached_records["f1"].reruns == 0
 
@@ -172,7 +210,7 @@
             continue
         assert claimed
         crash(node, f"x{claims}", claim=f"a{claims}")
-        node.record_claim_end("f1", f"a{claims}", engine_id="e3", ran=True)
+        node.record_claim_end("f1", f"a{claims}", engine_id="e3", end=UNKNOWN)
         await node.flush()
         claims += 1
     assert claims == 3
