An engine that was down for a while is looked at again

A look that showed the end of an engine held until the engine left the list. An engine that goes down and comes back under the same start was then taken for ended at every later break of a single connection, and innocent requests became suspects.

A result holds for a second now, for the other requests that were in flight. test_engine_that_was_down_for_a_while_is_looked_at_again fails with the longer life (two suspects instead of one).

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_ends.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_ends.py
@@ -25,6 +25,9 @@
 SECOND_LOOK_DELAY = datetime.timedelta(milliseconds=60)
 MAX_LOOKS = 3
 
+# How long an engine counts as ended after a look.
+ENDED_LIFETIME = datetime.timedelta(seconds=1)
+
 # A request that may be retried waits this long for the result.
 MAX_WAIT = datetime.timedelta(milliseconds=40)
 
@@ -44,7 +47,7 @@
     """Looks at engines that have ended a connection.
 
     Attributes:
-        looks: the looks in progress, and those of engines that have ended, by
+        looks: the looks in progress, and recent ones that showed an end, by
             incarnation.
     """
 
@@ -64,17 +67,20 @@
             )
         return found
 
-    def forget(self, engine: engines_lib.Engine) -> None:
-        """Forgets an engine that is gone."""
-        look = self.looks.get(engine.entry.incarnation)
-        if look is not None and look.done():
-            del self.looks[engine.entry.incarnation]
-
     def _finish(
         self, incarnation: Incarnation, look: asyncio.Task[EngineState]
     ) -> None:
-        if look.cancelled() or look.result() is not EngineState.ENDED:
-            del self.looks[incarnation]
+        ended = (
+            not look.cancelled()
+            and look.exception() is None
+            and look.result() is EngineState.ENDED
+        )
+        # The other requests that were in flight need no look of their own. An
+        # engine that was only down for a while is looked at again.
+        delay = ENDED_LIFETIME.total_seconds() if ended else 0.0
+        asyncio.get_running_loop().call_later(
+            delay, self.looks.pop, incarnation, None
+        )
 
     async def _look(self, engine: engines_lib.Engine) -> EngineState:
         if not engine.accepts_requests:
