A convicted request is tried again after a minute, not after ten seconds

The fleet had just recovered from the crashes before.

Engines that crash need some seconds until they serve as before, so ten seconds put the next crash into the recovery from the last one. It is a minute now, then ten. The number of claims, three, stays. What remains: several convictions may end at about the same time (docs/unproved.md).

--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -86,7 +86,8 @@
     convicting_crashes=None,
     counted_crashes=3,
     max_reruns=3,
-    probation=(datetime.timedelta(seconds=10), datetime.timedelta(minutes=5)),
+    # Engines that crashed need some seconds until they serve as before.
+    probation=(datetime.timedelta(minutes=1), datetime.timedelta(minutes=10)),
     claim_lifetime=datetime.timedelta(seconds=30),
 )
 
--- a/packages/dogwoodhinge/testing/quarantine/test_rules.py
+++ b/packages/dogwoodhinge/testing/quarantine/test_rules.py
@@ -161,7 +161,7 @@
 
 
 @pytest.mark.parametrize(
-    ("reruns", "seconds"), [(0, 3600), (1, 10), (2, 300), (3, 3600), (9, 3600)]
+    ("reruns", "seconds"), [(0, 3600), (1, 60), (2, 600), (3, 3600), (9, 3600)]
 )
 def test_rejection_grows_with_each_claim(reruns: int, seconds: int) -> None:
     period = rules.SHARED_ENGINES.rejection_period(reruns)
