A claim of a lost node lasts as long as its run may last, not 30 s

Traced in the logs. 12010: the innocent request that all callers of a route send had been in flight at two crashes. node-1 claimed it at 5.199 s of the minute, got its answer at 5.225 s and was killed before it had written that. All other nodes rejected this request with "its only retry is still in progress", 116 times, until the end: the claim was void after 30 s only, counted anew by each node that started. 12029: the claims of the three requests that crash engines were held in the same way for 40 s; when one was void, the next claim convicted its request and took an engine in the recovery.

A claim now has the time in which its run has ended in any case, from the timeout of its route, with a second for the end to be written; the reservation of the engine likewise. Without a known time (the product's own path) it lasts as before.

test_claim_of_a_node_that_was_lost_is_abandoned[known] fails with the fixed time.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -33,6 +33,11 @@
 RERUN_RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
+# Time for the look at an engine after the last moment of a run, and for the
+# write that ends the claim.
+CLAIM_MARGIN = datetime.timedelta(seconds=1)
+
+
 @final
 @dataclasses.dataclass(slots=True)
 class Run:
@@ -111,7 +116,14 @@
         claim = f"{call.request.request_id}/{call.claims}"
         try:
             held = await self.quarantine.claim(
-                claimed, claim, engine_id=engine_name
+                claimed,
+                claim,
+                engine_id=engine_name,
+                longest_run=datetime.timedelta(
+                    seconds=call.gateway_timeout_at
+                    - asyncio.get_running_loop().time()
+                )
+                + CLAIM_MARGIN,
             )
         except quarantine_lib.EngineReservedError as error:
             raise errors.NotRunError(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -81,8 +81,8 @@
         cached_records: the records of the view, by fingerprint.
         unwritten_changes: changes by fingerprint that are not in the table.
         ended_claims: engines to be freed, with the claim that reserved them.
-        reservations: claims by reserved engine, with the monotonic second at
-            which this node learned of them.
+        reservations: the reservation of each engine that has one, with the
+            monotonic second at which this node learned of it.
     """
 
     def __init__(
@@ -120,7 +120,7 @@
         self.cached_records = self.view.records
         self.unwritten_changes: dict[str, list[Change]] = {}
         self.ended_claims: dict[str, str] = {}
-        self.reservations: dict[str, tuple[str, float]] = {}
+        self.reservations: dict[str, tuple[records.Reservation, float]] = {}
         self.writing = asyncio.Lock()
         self.has_unwritten = asyncio.Event()
 
@@ -143,7 +143,12 @@
         return len(record.engines) > self.policy.free_crashes
 
     async def claim(
-        self, fingerprint: str, attempt_id: str, *, engine_id: str = ""
+        self,
+        fingerprint: str,
+        attempt_id: str,
+        *,
+        engine_id: str = "",
+        longest_run: datetime.timedelta | None = None,
     ) -> bool:
         """Checks whether an attempt may run, and claims the run of a suspect.
 
@@ -152,6 +157,9 @@
             attempt_id: ID of the attempt.
             engine_id: engine to reserve; empty if its owner keeps suspects
                 apart.
+            longest_run: time after which the attempt has ended in any case;
+                None if that is unknown. Then its claim, if the node is lost,
+                counts as abandoned.
 
         Returns:
             True if the attempt runs as a suspect and now holds the claim, which
@@ -164,12 +172,19 @@
         """
         if not self.needs_claim(fingerprint):
             return False
+        lifetime = self.policy.claim_lifetime
+        if longest_run is not None:
+            lifetime = min(lifetime, longest_run)
+        reservation = records.Reservation(
+            engine_id=engine_id,
+            claim=attempt_id,
+            claim_seconds=lifetime.total_seconds(),
+        )
         try:
             claimed = await self._update(
                 fingerprint,
-                lambda old: self._claimed(old, attempt_id),
-                reserve=engine_id,
-                claim=attempt_id,
+                lambda old: self._claimed(old, reservation),
+                reservation=reservation,
             )
         except public_errors.TableError as error:
             raise errors.RefusedError(
@@ -403,13 +418,7 @@
                 if records.reservation_key(engine_id) == key:
                     del self.reservations[engine_id]
             return
-        reservation = records.decode_reservation(value)
-        known = self.reservations.get(reservation.engine_id)
-        if known is None or known[0] != reservation.claim:
-            self.reservations[reservation.engine_id] = (
-                reservation.claim,
-                self.clock.monotonic(),
-            )
+        self._learn_reservation(records.decode_reservation(value))
 
     # The table.
 
@@ -511,9 +520,9 @@
             for fingerprint in batch:
                 self.view.forget(fingerprint)
             self.view.evicted.difference_update(batch)
-        for engine_id, (claim, _) in tuple(self.reservations.items()):
-            if self._is_abandoned(engine_id, claim):
-                self.ended_claims[engine_id] = claim
+        for engine_id, known in tuple(self.reservations.items()):
+            if self._is_abandoned(*known):
+                self.ended_claims[engine_id] = known[0].claim
                 self.has_unwritten.set()
 
     async def _write_batch(
@@ -580,7 +589,8 @@
         for engine_id, claim in freed.items():
             if self.ended_claims.get(engine_id) == claim:
                 del self.ended_claims[engine_id]
-            if self.reservations.get(engine_id, ("", 0.0))[0] == claim:
+            known = self.reservations.get(engine_id)
+            if known is not None and known[0].claim == claim:
                 del self.reservations[engine_id]
 
     def _with_unwritten(
@@ -632,8 +642,7 @@
         fingerprint: str,
         change: Change,
         *,
-        reserve: str = "",
-        claim: str = "",
+        reservation: records.Reservation | None = None,
     ) -> bool:
         """Applies a change to a row, or drops the record if it returns None.
 
@@ -643,9 +652,8 @@
         Args:
             fingerprint: digest of the request.
             change: returns the new record.
-            reserve: engine to reserve for `claim` in the same transaction;
-                empty for none.
-            claim: the claim.
+            reservation: the claim that the change makes, and the engine to
+                reserve in the same transaction, if it names one.
 
         Returns:
             Whether a record was written.
@@ -667,8 +675,12 @@
             writes = [
                 self.table.write(fingerprint, records.encode(changed), row)
             ]
-            if reserve and changed.claim == claim:
-                writes.append(await self._reservation_write(reserve, claim))
+            if (
+                reservation is not None
+                and reservation.engine_id
+                and changed.claim == reservation.claim
+            ):
+                writes.append(await self._reservation_write(reservation))
             try:
                 await self.table.commit(writes)
             except (
@@ -678,8 +690,8 @@
                 continue  # reads the current row and retries
             self.view.put(changed)
             self._drop_written(fingerprint, unwritten)
-            if len(writes) > 1:
-                self.reservations[reserve] = claim, self.clock.monotonic()
+            if len(writes) > 1 and reservation is not None:
+                self._learn_reservation(reservation)
             return True
         raise public_errors.TableOutcomeUnknownError(
             f"the quarantine record of request {fingerprint} could not be "
@@ -687,35 +699,44 @@
         )
 
     async def _reservation_write(
-        self, engine_id: str, claim: str
+        self, reservation: records.Reservation
     ) -> models.Write:
-        key = records.reservation_key(engine_id)
+        key = records.reservation_key(reservation.engine_id)
         row = await self.table.get(key)
         if row is not None:
             self.apply_row(key, row.value)
-            holder = _reserved_by(row)
-            if holder != claim and not self._is_abandoned(engine_id, holder):
+            known = self.reservations.get(reservation.engine_id)
+            if (
+                known is not None
+                and known[0].claim != reservation.claim
+                and not self._is_abandoned(*known)
+            ):
                 raise EngineReservedError(
-                    f"another suspect runs on engine {engine_id}",
+                    f"another suspect runs on engine {reservation.engine_id}",
                     retry_after=CLAIM_RETRY_AFTER,
                 )
-        value = records.encode_reservation(
-            records.Reservation(engine_id=engine_id, claim=claim)
-        )
+        value = records.encode_reservation(reservation)
         return self.table.write(key, value, row)
 
-    def _is_abandoned(self, engine_id: str, claim: str) -> bool:
-        known_claim, since = self.reservations.get(engine_id, (claim, 0.0))
+    def _learn_reservation(self, reservation: records.Reservation) -> None:
+        known = self.reservations.get(reservation.engine_id)
+        if known is None or known[0] != reservation:
+            now = self.clock.monotonic()
+            self.reservations[reservation.engine_id] = reservation, now
+
+    def _is_abandoned(
+        self, reservation: records.Reservation, since: float
+    ) -> bool:
         age = self.clock.monotonic() - since
-        return (
-            known_claim == claim
-            and age >= self.policy.claim_lifetime.total_seconds()
-        )
+        return age >= reservation.claim_seconds
 
     def _claimed(
-        self, old: records.QuarantineRecord | None, attempt_id: str
+        self,
+        old: records.QuarantineRecord | None,
+        reservation: records.Reservation,
     ) -> records.QuarantineRecord | None:
         """Returns the record with a claim, or None if no claim is needed."""
+        attempt_id = reservation.claim
         if old is None or old.verdict is records.Verdict.CLEARED:
             return None
         if old.verdict is records.Verdict.CONVICTED:
@@ -734,15 +755,14 @@
             and old.reruns >= limit
         ):
             return rules.convicted(old)
-        return rules.claimed(old, attempt_id)
+        return rules.claimed(old, attempt_id, seconds=reservation.claim_seconds)
 
     def _claim_ended(self, record: records.QuarantineRecord) -> bool:
         """Returns whether a claim has outlasted its lifetime."""
         known = self.cached_records.get(record.fingerprint)
         if known is None or known.claim != record.claim:
             self.view.put(record)
-        age = self.view.age(record.fingerprint)
-        return age >= self.policy.claim_lifetime.total_seconds()
+        return self.view.age(record.fingerprint) >= record.claim_seconds
 
     def _decode(
         self, row: models.Row | None
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -48,6 +48,7 @@
             since it last ran to completion.
         cleared_engines: those that crashed before.
         claim: ID of the attempt that retries the request, else empty.
+        claim_seconds: time after which the claim counts as abandoned.
         reruns: claims so far, without those whose attempt did not run.
     """
 
@@ -57,6 +58,7 @@
     engines: tuple[str, ...] = ()
     cleared_engines: tuple[str, ...] = ()
     claim: str = ""
+    claim_seconds: float = 0.0
     reruns: int = 0
 
     @property
@@ -73,10 +75,12 @@
     Attributes:
         engine_id: the engine.
         claim: the claim.
+        claim_seconds: time after which the claim counts as abandoned.
     """
 
     engine_id: str
     claim: str
+    claim_seconds: float
 
 
 RECORDS = pydantic.TypeAdapter(QuarantineRecord)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -45,7 +45,7 @@
             rejected for `CONVICTION_LIFETIME`; None for no limit.
         probation: how long a convicted request is rejected before it may be
             claimed once more, by the number of claims before the last one.
-        claim_lifetime: time after which a claim counts as abandoned.
+        claim_lifetime: longest time after which a claim counts as abandoned.
     """
 
     free_crashes: int
@@ -209,15 +209,22 @@
 
 
 def claimed(
-    record: records.QuarantineRecord, claim: str
+    record: records.QuarantineRecord, claim: str, *, seconds: float
 ) -> records.QuarantineRecord:
-    """Returns the record of a suspect that is retried."""
+    """Returns the record of a suspect that is retried.
+
+    Args:
+        record: the record.
+        claim: ID of the attempt.
+        seconds: time after which the claim counts as abandoned.
+    """
     if record.claim == claim:
         return record
     return dataclasses.replace(
         record,
         verdict=records.Verdict.RERUNNING,
         claim=claim,
+        claim_seconds=seconds,
         reruns=record.reruns + 1,
     )
 
--- a/packages/dogwoodhinge/testing/quarantine/test_quarantine.py
+++ b/packages/dogwoodhinge/testing/quarantine/test_quarantine.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import datetime
 
 import pytest
 
@@ -116,16 +117,23 @@
     assert await second.claim("f2", "b2", engine_id="e4")
 
 
+@pytest.mark.parametrize("seconds", [2, None], ids=["known", "unknown"])
 async def test_claim_of_a_node_that_was_lost_is_abandoned(
     make_quarantine: MakeQuarantine,
     table: memory_table.MemoryTable,
     clock: dispatch_fakes.EagerClock,
+    seconds: int | None,
 ) -> None:
+    """An innocent popular request was rejected long after its run had ended."""
     lost, node = make_quarantine(), make_quarantine()
     crash(lost, "e1", "e2")
-    await lost.claim("f1", "a1", engine_id="e3")
+    lifetime = rules.SHARED_ENGINES.claim_lifetime
+    longest_run = seconds and datetime.timedelta(seconds=seconds)
+    await lost.claim("f1", "a1", engine_id="e3", longest_run=longest_run)
     node.apply_snapshot(rows(table))
-    clock.seconds += rules.SHARED_ENGINES.claim_lifetime.total_seconds()
+    with pytest.raises(errors.RefusedError):
+        await node.claim("f1", "a2", engine_id="e3")
+    clock.seconds += seconds or lifetime.total_seconds()
     assert await node.claim("f1", "a2", engine_id="e3")
 
 
