--- a/review/1/late_copy.py
+++ b/review/1/late_copy.py
@@ -232,4 +232,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(standins.run_case(main))
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import base64
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 import dataclasses
 import json
 import os
@@ -16,7 +16,8 @@
 import signal
 import sys
 import time
-from typing import final
+import traceback
+from typing import Any, final
 from urllib import parse
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
@@ -62,11 +63,11 @@
         self.file = path.open("w", encoding="utf-8")
         self.started_at = time.monotonic()
 
-    def write(self, kind: str, **fields: object) -> None:
+    def write(self, event: str, /, **fields: object) -> None:
         """Appends one line."""
         elapsed = time.monotonic() - self.started_at
         text = " ".join(f"{name}={value}" for name, value in fields.items())
-        self.file.write(f"{elapsed:8.3f} {kind} {text}\n")
+        self.file.write(f"{elapsed:8.3f} {event} {text}\n")
         self.file.flush()
 
 
@@ -549,6 +550,15 @@
             writer.close()
 
 
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Runs a case; returns 2 if the script itself fails."""
+    try:
+        return asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        return 2
+
+
 def loopback_prefix() -> str:
     """Returns `127.a.b`, which differs between processes."""
     number = os.getpid()
