--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -510,6 +510,16 @@
     body: bytes
 
 
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    data = b""
+    while True:
+        size = int(await reader.readuntil(b"\r\n"), 16)
+        chunk = await reader.readexactly(size + 2)
+        if not size:
+            return data
+        data += chunk[:-2]
+
+
 async def fetch(
     host: str,
     port: int,
@@ -543,8 +553,11 @@
             for line in rest:
                 name, _, value = line.partition(":")
                 found[name.strip().lower()] = value.strip()
-            length = int(found.get("content-length", "0"))
-            data = await reader.readexactly(length)
+            if found.get("transfer-encoding") == "chunked":
+                data = await _read_chunks(reader)
+            else:
+                length = int(found.get("content-length", "0"))
+                data = await reader.readexactly(length)
             return Answer(int(first.split(" ")[1]), found, data)
         finally:
             writer.close()
