--- a/review/3/late_order.py
+++ b/review/3/late_order.py
@@ -96,7 +96,7 @@
         ):
             return 0.0
         self.late = LateOrder(engine, engine.sequence, time.monotonic())
-        return LATE_SECONDS
+        return LATE_SECONDS if TROUBLE else 0.0
 
     async def start(self, folder: pathlib.Path) -> None:
         """Starts the store, the engines and the nodes."""
@@ -199,7 +199,7 @@
     async def play_round(self) -> None:
         """Lets one order be late, crashes its engine, and fills it again."""
         self.late = None
-        self.late_begins = TROUBLE
+        self.late_begins = True
         for _ in range(8):
             await self.ask_rare()
             if self.late is not None:
@@ -211,7 +211,9 @@
         self.crashed.add(engine.engine_id)
         due = self.late.at + LATE_SECONDS
         self.adapters = self.held_by_others(engine)
-        crash = asyncio.create_task(engine.crash(DOWN_SECONDS))
+        crash = asyncio.create_task(
+            engine.crash(DOWN_SECONDS) if TROUBLE else asyncio.sleep(0)
+        )
         while time.monotonic() < due and not (
             crash.done() and engine.has_model
         ):
@@ -254,7 +256,7 @@
     }
     record.write("summary", overfilled=overfilled, statuses=case.statuses)
     print(f"overfilled={overfilled} answers={dict(case.statuses)}")
-    if TROUBLE and not case.crashed:
+    if not case.crashed:
         return 2
     if not case.statuses[200]:
         return 2
--- a/review/standins/model_engines.py
+++ b/review/standins/model_engines.py
@@ -213,12 +213,14 @@
         if not name:
             return self._load_model(fits=fits) if loads else 400
         if loads and name in self.resident | self.pending:
-            return 202
+            self._write("already_holds", order)
+            return 200
         if loads and len(self.pending) >= MAX_ON_THEIR_WAY:
             return 409
         if not fits or (not loads and self.unloading):
             return 409
         if not loads and name not in self.resident:
+            self._write("not_there", order)
             return 200
         self.sequence += 1
         reply = self._load(name) if loads else self._unload(name)
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -28,6 +28,9 @@
 HISTORY_SECONDS = 20.0  # SYSTEM.md: "20 s of history"
 HEARTBEAT_SECONDS = 1.2
 
+# PROTOCOL.md: an entry is removed "after three heartbeat intervals of silence".
+EXPIRY_SECONDS = 3 * HEARTBEAT_SECONDS
+
 BOUNDS = {
     "seedLagS": 3,
     "addressReuseS": 2,
@@ -360,6 +363,7 @@
         self.server = HttpServer(self._handle)
         self.born = time.time_ns() // 1_000_000
         self.beats: asyncio.Task[None] | None = None
+        self.last_beat_at = 0.0
         self.zone = "z1"
         self.slots = 6
 
@@ -376,6 +380,7 @@
 
     async def _beat(self) -> None:
         while True:
+            self.last_beat_at = time.monotonic()
             self.store.put(
                 "servers",
                 self.engine_id,
