A rejected request is not sent again on the connection that rejected it

Cause: the endpoint wrote its rejection once more, late, on the kept connection on which the request was sent again after the pause. `Attempt-Id` tells responses of different requests apart, but both sends of one request bear the same id, so that the copy passed as the second response. The same holds for a 421 of an engine that lacks the adapter, after which the request returns to it.

Ruled out: copies of other requests' rejections (skipped by their id); a pause that ends too soon (the second send is after it); outcomes that are unknown, after which the connection is dropped anyway.

Why it works: a connection remembers the ids that were rejected on it, and the pool gives the request another one. On that connection no copy can exist. A connection with 256 of them is closed, so that memory stays bounded; all other requests keep using it.

A counter of skipped late responses is new; until now nothing told of them.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -393,6 +393,8 @@
 
     Attributes:
         response_ends: number of responses by their framing and end.
+        stale_responses: number of responses that belonged to an earlier
+            request on their connection.
     """
 
     def __init__(
@@ -405,6 +407,7 @@
         self.response_ends: collections.Counter[
             tuple[BodyFraming, ResponseEnd]
         ] = collections.Counter()
+        self.stale_responses = 0
         self.codec = codec
         self.connections_per_node = connections_per_node
         self.announcements = announcements
@@ -443,7 +446,7 @@
         engine_connections = self._engine_connections(engine, now)
         try:
             connection = await engine_connections.pool.acquire(
-                fresh_only=not repeatable
+                fresh_only=not repeatable, request_id=request.request_id
             )
         except http_errors.PoolFullError as error:
             raise errors.NotRunError(str(error), unreachable=True) from error
@@ -570,6 +573,7 @@
                     "request id on a used connection"
                 )
             if answers and (decoded.not_run or decoded.misdirected):
+                connection.rejected_ids.add(request.request_id)
                 await self._drain_rejection(response)
                 end = "" if response.complete else " with an incomplete body"
                 raise errors.NotRunError(
@@ -581,6 +585,7 @@
                 )
             if answers:
                 return response
+            self.stale_responses += 1
             await self._drain_response(response, prepare_switch)
             if not connection.expect_next_response(head):
                 break
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -62,6 +62,9 @@
         message_number: number of the current message on this connection,
             starting at 1.
         message_bytes: bytes received of a message that is not complete.
+        rejected_ids: ids of the requests that the peer has rejected on this
+            connection. It may repeat a rejection, late, and one of these
+            requests could not tell the copy from the response to a second send.
         pooled: whether the connection is idle in a pool, so that received
             bytes belong to no request and end it.
     """
@@ -94,6 +97,7 @@
         self.unparsed_bytes = 0
         self.message_number = 1
         self.message_bytes = 0
+        self.rejected_ids: set[str] = set()
         self.pooled = False
         self._informational_responses = 0
         self._events_in_turn = 0
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -30,6 +30,10 @@
 
 MAX_RESPONSE_HEAD_BYTES = 32 * 1024
 
+# A connection on which more requests were rejected is closed, since it has to
+# remember their ids.
+MAX_REJECTED_IDS = 256
+
 
 @final
 class ConnectionPool:
@@ -52,19 +56,23 @@
         self.closed = False
 
     async def acquire(
-        self, *, fresh_only: bool = False
+        self, *, fresh_only: bool = False, request_id: str = ""
     ) -> connection_lib.Connection:
         """Returns a connection without a request in progress.
 
         Args:
             fresh_only: whether to reuse only connections that were idle for
                 less than FRESH_IDLE_LIMIT.
+            request_id: id of the request that it is for, which is not sent
+                again on a connection on which it was rejected.
 
         Raises:
             ConnectError: no connection could be opened.
             PoolFullError: all connections are in use.
         """
-        idle_connection = self._take_idle(fresh_only=fresh_only)
+        idle_connection = self._take_idle(
+            fresh_only=fresh_only, request_id=request_id
+        )
         if idle_connection is not None:
             self.in_use.add(idle_connection)
             return idle_connection
@@ -117,6 +125,7 @@
             self.closed
             or connection.unread_bytes
             or not connection.all_sent
+            or len(connection.rejected_ids) >= MAX_REJECTED_IDS
             or not connection.start_next_message()
         ):
             connection.close()
@@ -141,6 +150,21 @@
             self.idle.popleft().close()
 
     def _take_idle(
+        self, *, fresh_only: bool, request_id: str
+    ) -> connection_lib.Connection | None:
+        skipped: list[connection_lib.Connection] = []
+        try:
+            while True:
+                found = self._take_latest_idle(fresh_only=fresh_only)
+                if found is None or request_id not in found.rejected_ids:
+                    return found
+                skipped.append(found)
+        finally:
+            for connection in reversed(skipped):
+                connection.pooled = True
+                self.idle.append(connection)
+
+    def _take_latest_idle(
         self, *, fresh_only: bool
     ) -> connection_lib.Connection | None:
         max_idle = max(
--- a/packages/dogwoodhinge/testing/http1/test_pool.py
+++ b/packages/dogwoodhinge/testing/http1/test_pool.py
@@ -48,6 +48,9 @@
     def close(self) -> None:
         self.closed = True
 
+    def abort(self) -> None:
+        self.closed = True
+
 
 @pytest.mark.parametrize("unsent", [0, 1])
 async def test_connection_with_an_unsent_body_is_not_used_again(
@@ -76,3 +79,58 @@
     pool.release(connection)
     assert len(pool.idle) == (0 if unsent else 1)
     assert transport.closed == bool(unsent)
+
+
+async def answered_connection(
+    pool: pool_lib.ConnectionPool, *, rejected: str = ""
+) -> connection_lib.Connection:
+    """Adds a connection to the pool that has carried one request."""
+    connection = connection_lib.Connection(
+        role=h11.CLIENT, max_head_bytes=1_000
+    )
+    connection.connection_made(FullTransport(0))
+    if rejected:
+        connection.rejected_ids.add(rejected)
+    connection.send(
+        h11.Request(method="GET", target="/", headers=[("Host", "x")]),
+        h11.EndOfMessage(),
+    )
+    connection.data_received(b"HTTP/1.1 204 No Content\r\n\r\n")
+    for _ in range(2):
+        await connection.next_event()
+    pool.in_use.add(connection)
+    pool.release(connection)
+    return connection
+
+
+async def test_rejected_request_gets_another_connection() -> None:
+    """A late copy of the rejection would pass as its second response."""
+    pool = pool_lib.ConnectionPool(host="127.0.0.1", port=1, limit=3)
+    other = await answered_connection(pool)
+    refused = await answered_connection(pool, rejected="r1")
+    assert await pool.acquire(request_id="r1") is other
+    assert await pool.acquire(request_id="r2") is refused
+
+
+async def test_skipped_connections_keep_their_order_and_stay_pooled() -> None:
+    pool = pool_lib.ConnectionPool(host="127.0.0.1", port=1, limit=3)
+    skipped = [await answered_connection(pool, rejected="r1") for _ in range(2)]
+    with pytest.raises(errors.ConnectError):
+        await pool.acquire(request_id="r1")
+    assert list(pool.idle) == skipped
+    skipped[0].data_received(b"HTTP/1.1 503 late copy")
+    assert await pool.acquire(request_id="r1x") is skipped[1]
+    assert skipped[0].lost.is_set()
+
+
+async def test_connection_with_many_rejections_is_closed() -> None:
+    """The ids that it has to remember are bounded."""
+    pool = pool_lib.ConnectionPool(host="127.0.0.1", port=1, limit=1)
+    connection = connection_lib.Connection(
+        role=h11.CLIENT, max_head_bytes=1_000
+    )
+    connection.rejected_ids.update(map(str, range(pool_lib.MAX_REJECTED_IDS)))
+    pool.in_use.add(connection)
+    pool.release(connection)
+    assert not pool.idle
+    assert connection.lost.is_set()
