--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -61,6 +61,7 @@
             reply; the order may still be executed while the engine's count
             stays the same.
         conflicts: conflicts since the last accepted order.
+        reported: the largest number of accepted orders in a report.
     """
 
     def __init__(self, entry: models.EngineEntry) -> None:
@@ -71,6 +72,7 @@
         self.last_order_at = 0.0
         self.abandoned_at_count: int | None = None
         self.conflicts = 0
+        self.reported = 0
 
 
 @final
@@ -126,7 +128,7 @@
         rest = REPORT_LAG.total_seconds() - age
         if rest > 0:
             await asyncio.sleep(rest)
-        found = await self.orders.report(state.entry)
+        found = await self._fetch_report(state)
         if self.order_states.get(state.entry.engine_id) is not state:
             return  # the engine left or restarted in the meantime
         state.orders_accepted = found.orders_accepted
@@ -153,6 +155,33 @@
             },
         )
 
+    async def _fetch_report(
+        self, state: EngineOrderState
+    ) -> models.EngineReport:
+        """Reads the report of one start of an engine.
+
+        An engine may have restarted under its id, and a faulty one may send an
+        earlier report once more.
+
+        Raises:
+            EngineError: no report was received, or one of another start or of
+                an earlier time than the latest one.
+        """
+        entry = state.entry
+        found = await self.orders.report(entry)
+        if found.born_ms != entry.born_ms and found.born_ms and entry.born_ms:
+            raise errors.EngineError(
+                f"engine {entry.engine_id} has reported the start at"
+                f" {found.born_ms} ms, expected {entry.born_ms} ms"
+            )
+        if found.orders_accepted < state.reported:
+            raise errors.EngineError(
+                f"engine {entry.engine_id} has reported"
+                f" {found.orders_accepted} orders after {state.reported}"
+            )
+        state.reported = found.orders_accepted
+        return found
+
     async def load(
         self, assignment: adapter_slots_lib.Assignment, key: models.AdapterKey
     ) -> None:
@@ -216,7 +245,7 @@
         loop = asyncio.get_running_loop()
         before = loop.time() - REPORT_LAG.total_seconds()
         known = state.orders_accepted
-        found = await self.orders.report(state.entry)
+        found = await self._fetch_report(state)
         if found.orders_accepted != state.orders_accepted:
             # With recent orders the report may be older than them.
             if state.last_order_at < before and found.orders_accepted != known:
@@ -289,7 +318,7 @@
             EngineError: no report was received.
             OrderFailedError: the engine's state must be read again.
         """
-        found = await self.orders.report(state.entry)
+        found = await self._fetch_report(state)
         if found.orders_accepted != state.orders_accepted:
             raise OrderFailedError(
                 f"the engine has accepted {found.orders_accepted} orders,"
@@ -319,7 +348,7 @@
         engine_id = state.entry.engine_id
         loop = asyncio.get_running_loop()
         try:
-            found = await self.orders.report(state.entry)
+            found = await self._fetch_report(state)
         except errors.EngineError as error:
             state.needs_refresh = True
             self.placement.record_unconfirmed(engine_id, key, loop.time())
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -56,11 +56,16 @@
         self.closed = False
 
     async def acquire(
-        self, *, fresh_only: bool = False, request_id: str = ""
+        self,
+        *,
+        reuse: bool = True,
+        fresh_only: bool = False,
+        request_id: str = "",
     ) -> connection_lib.Connection:
         """Returns a connection without a request in progress.
 
         Args:
+            reuse: whether it may have carried requests before.
             fresh_only: whether to reuse only connections that were idle for
                 less than FRESH_IDLE_LIMIT.
             request_id: id of the request that it is for, which is not sent
@@ -70,9 +75,11 @@
             ConnectError: no connection could be opened.
             PoolFullError: all connections are in use.
         """
-        idle_connection = self._take_idle(
-            fresh_only=fresh_only, request_id=request_id
-        )
+        idle_connection = None
+        if reuse:
+            idle_connection = self._take_idle(
+                fresh_only=fresh_only, request_id=request_id
+            )
         if idle_connection is not None:
             self.in_use.add(idle_connection)
             return idle_connection
@@ -134,6 +141,11 @@
         connection.pooled = True
         self.idle.append(connection)
 
+    def close_used(self, connection: connection_lib.Connection) -> None:
+        """Closes a connection whose response is complete."""
+        self.in_use.discard(connection)
+        connection.close()
+
     def discard(self, connection: connection_lib.Connection) -> None:
         """Aborts a connection whose state is unknown."""
         self.in_use.discard(connection)
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -12,6 +12,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import orders
 from _dogwoodhinge.fleet import placement as placement_lib
+from dogwoodhinge import errors
 from dogwoodhinge_lab import fleet_fakes
 
 ENTRY = models.EngineEntry(
@@ -629,3 +630,30 @@
         await bench.loader.load(assignment, KEY)
     bench.placement.cancel_reservation(assignment, KEY, 0.0)
     assert KEY in bench.placement.engines["e1"].adapter_slots
+
+
+async def test_report_of_another_start_of_an_engine_is_not_used(
+    bench: Bench,
+) -> None:
+    """Regression: a restarted engine was filled by the report from before.
+
+    An engine may start again under its id, and the list may be older or newer
+    than the connection that its report comes from.
+    """
+    restarted = dataclasses.replace(ENTRY, born_ms=2)
+    with pytest.raises(errors.EngineError, match="has reported the start"):
+        await bench.loader.read_state(restarted, capacity=1)
+    assert bench.loader.order_states["e1"].needs_refresh
+
+
+async def test_report_that_is_older_than_an_earlier_one_is_not_used(
+    bench: Bench,
+) -> None:
+    """Regression: a repeated report replaced the newer one."""
+    stale = await bench.engine.report(ENTRY)
+    await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    await bench.loader.read_state(ENTRY, capacity=1)
+    bench.engine.frozen = stale
+    with pytest.raises(errors.EngineError, match="orders after 1"):
+        await bench.loader.read_state(ENTRY, capacity=1)
+    assert bench.placement.has_slot("e1", KEY)
