--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -58,14 +58,12 @@
     async def acquire(
         self,
         *,
-        reuse: bool = True,
         fresh_only: bool = False,
         request_id: str = "",
     ) -> connection_lib.Connection:
         """Returns a connection without a request in progress.
 
         Args:
-            reuse: whether it may have carried requests before.
             fresh_only: whether to reuse only connections that were idle for
                 less than FRESH_IDLE_LIMIT.
             request_id: id of the request that it is for, which is not sent
@@ -75,11 +73,9 @@
             ConnectError: no connection could be opened.
             PoolFullError: all connections are in use.
         """
-        idle_connection = None
-        if reuse:
-            idle_connection = self._take_idle(
-                fresh_only=fresh_only, request_id=request_id
-            )
+        idle_connection = self._take_idle(
+            fresh_only=fresh_only, request_id=request_id
+        )
         if idle_connection is not None:
             self.in_use.add(idle_connection)
             return idle_connection
@@ -141,11 +137,6 @@
         connection.pooled = True
         self.idle.append(connection)
 
-    def close_used(self, connection: connection_lib.Connection) -> None:
-        """Closes a connection whose response is complete."""
-        self.in_use.discard(connection)
-        connection.close()
-
     def discard(self, connection: connection_lib.Connection) -> None:
         """Aborts a connection whose state is unknown."""
         self.in_use.discard(connection)
@@ -158,6 +149,10 @@
     def close(self) -> None:
         """Closes idle connections; the others close when released."""
         self.closed = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes idle connections."""
         while self.idle:
             self.idle.popleft().close()
 
