A load without a reply outlives the restart of its engine

Cause: an order without a reply may be executed seconds later, if the engine's count of accepted orders is the one that it states. While the engine runs on, it has room for the load at that count. After a restart under its id it counts anew, comes to that count with other adapters, and may be full there. What was known of the order ended with the engine's start, and with the leader's term.

Why it works: each load is recorded as it is sent, until its own reply; the reply to a repetition says nothing of the first send. An engine of a later start keeps a slot free for each count that is still to come, for 15 s after the send. As its count passes, or the load is executed, the slot is free again. Base models: only the same model is loaded meanwhile. A new leader does not know the orders of the previous one; engines that started since 15 s before its term keep one slot free until 15 s after its beginning; a full engine still replaces its adapters.

Left open: two loads of the previous leader with successive counts, both executed by a start that the new leader fills.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
@@ -144,6 +144,8 @@
         request_slots: number of requests that it runs at once.
         work: requests running and waiting on it, as last reported by the nodes.
         penalty: its health penalty, see `health`.
+        kept_free: slots that are not filled if they are free; adapters in the
+            others may still replace each other.
     """
 
     engine_id: str
@@ -151,6 +153,7 @@
     request_slots: int
     work: engines_lib.Work
     penalty: float
+    kept_free: int = 0
 
 
 @final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/base_models.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/base_models.py
@@ -25,10 +25,16 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class EmptyEngine:
-    """An engine without a base model."""
+    """An engine without a base model.
+
+    Attributes:
+        late_models: base models that it may load by an order to an earlier
+            start. Another one beside them may exceed its memory.
+    """
 
     engine_id: str
     service: str
+    late_models: frozenset[str] = frozenset()
 
 
 @final
@@ -78,6 +84,10 @@
             ]
             if not fitting:
                 break
+            if engine.late_models:
+                fitting = [m for m in fitting if {m.name} == engine.late_models]
+                if not fitting:
+                    continue
             model = min(fitting, key=lambda m: (counts[m.name], m.name))
             counts[model.name] += 1
             timeout = model.load_time.total_seconds() * LOAD_TIMEOUT_FACTOR
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -56,6 +56,7 @@
 
     Attributes:
         entry: the engine's last entry in the endpoint list.
+        listed_at: loop time at which this node first listed this start of it.
         leaving: accepts no new requests; never reset within an incarnation.
         listed: whether the endpoint list contains it.
         running: requests of this node in flight on it.
@@ -66,8 +67,11 @@
         held_adapters: adapters on it, from the leader and from its own entry.
     """
 
-    def __init__(self, entry: models.EngineEntry) -> None:
+    def __init__(
+        self, entry: models.EngineEntry, *, listed_at: float = -math.inf
+    ) -> None:
         self.entry = entry
+        self.listed_at = listed_at
         self.leaving = entry.leaving
         self.listed = True
         self.running = 0
@@ -118,7 +122,7 @@
         if known is None or known.entry.incarnation != entry.incarnation:
             if known is not None:
                 known.listed = False
-            known = Engine(entry)
+            known = Engine(entry, listed_at=now)
             self.engines[entry.engine_id] = known
             self._add_reported_adapters(known, now)
         known.entry = entry
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -17,6 +17,7 @@
 from _dogwoodhinge.fleet import base_models as base_models_lib
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
+from _dogwoodhinge.fleet import late_orders as late_orders_lib
 from _dogwoodhinge.fleet import loader as loader_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease as order_lease_lib
@@ -65,6 +66,7 @@
 
     Attributes:
         leading: whether this node acts as the leader.
+        leading_since: loop time from which it does.
         state_reads: reads of engine states in flight, by engine.
         loads: adapter loads in flight.
         rejected: placement requests rejected since the last log line.
@@ -114,6 +116,7 @@
         self.rejection_logged_at = -math.inf
         self.loads: set[asyncio.Task[adapter_slots_lib.Assignment]] = set()
         self.leading = False
+        self.leading_since = -math.inf
 
     # Calls of peers.
 
@@ -323,9 +326,8 @@
         if self.lease.is_held_here:
             if not self.leading:
                 self.leading = True
-                self.shared_retry_budget.restart(
-                    asyncio.get_running_loop().time()
-                )
+                self.leading_since = asyncio.get_running_loop().time()
+                self.shared_retry_budget.restart(self.leading_since)
                 self.report("placement_started", {"token": self.lease.token})
             self._drop_silent_nodes()
             self._track_engines()
@@ -485,7 +487,11 @@
                 for name in engine.entry.models:
                     copies[name] = copies.get(name, 0) + 1
             empty = [
-                base_models_lib.EmptyEngine(e.engine_id, e.entry.service)
+                base_models_lib.EmptyEngine(
+                    e.engine_id,
+                    e.entry.service,
+                    self.loader.late_models(e.engine_id, now),
+                )
                 for e in engines
                 if not e.entry.models
                 and e.engine_id in self.loader.order_states
@@ -514,17 +520,48 @@
                 engine, model, penalty
             ):
                 continue
+            slots = self._usable_slots(engine, engine_class, now)
+            keeps_one_free = slots > 1 and self._may_have_unknown_late_order(
+                engine, now
+            )
             candidates.append(
                 adapter_slots_lib.Candidate(
                     engine.engine_id,
-                    engine_class.adapter_capacity(engine.entry.models),
+                    slots,
                     engine.entry.slots,
                     self.usage.work.get(engine.engine_id, usage_lib.NO_WORK),
                     penalty,
+                    kept_free=1 if keeps_one_free else 0,
                 )
             )
         return candidates
 
+    def _usable_slots(
+        self,
+        engine: engines_lib.Engine,
+        engine_class: models.EngineClass,
+        now: float,
+    ) -> int:
+        """Returns the adapter slots of an engine that may be filled."""
+        slots = engine_class.adapter_capacity(engine.entry.models)
+        return max(0, slots - self.loader.reserved_slots(engine.engine_id, now))
+
+    def _may_have_unknown_late_order(
+        self, engine: engines_lib.Engine, now: float
+    ) -> bool:
+        """Returns whether an order of the previous leader may be executed.
+
+        That concerns engines that have started since its last orders, since
+        they may have had the same id before. A node that has just started
+        itself cannot tell which ones have.
+        """
+        delay = late_orders_lib.MAX_ORDER_DELAY.total_seconds()
+        return (
+            self.lease.token > 1
+            and now < self.leading_since + delay
+            and engine.listed_at > self.leading_since - delay
+        )
+
     def _unusable_reason(
         self, engine: engines_lib.Engine, model: str, penalty: float
     ) -> str:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -14,6 +14,7 @@
 
 from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
+from _dogwoodhinge.fleet import late_orders as late_orders_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import orders as orders_lib
 from _dogwoodhinge.fleet import placement as placement_lib
@@ -81,6 +82,7 @@
 
     Attributes:
         order_states: state of each engine, by its id.
+        late_orders: loads without a reply, also those to earlier starts.
         may_order: returns whether this node may give orders; called right
             before each order is sent.
         token: returns the fencing token of this node.
@@ -103,6 +105,7 @@
         self.token = token
         self.report = report
         self.order_states: dict[str, EngineOrderState] = {}
+        self.late_orders = late_orders_lib.LateOrders()
         self.orders_sent = 0
         self.orders_failed = 0
 
@@ -135,8 +138,9 @@
         state.conflicts = 0
         state.needs_refresh = False
         residents = _residents(found)
+        engine_id = state.entry.engine_id
         self.placement.set_engine(
-            state.entry.engine_id,
+            engine_id,
             capacity=capacity,
             residents=residents,
             pending=found.pending,
@@ -146,12 +150,14 @@
         self.report(
             "engine_state_read",
             {
-                "engine": state.entry.engine_id,
+                "engine": engine_id,
                 "orders_accepted": found.orders_accepted,
                 "residents": len(residents),
                 "pending": len(found.pending),
                 "in_memory": len(found.in_memory),
                 "models": ",".join(found.models),
+                "late_loads": len(self.late_orders.sent.get(engine_id, ())),
+                "reserved": self.reserved_slots(engine_id, loop.time()),
             },
         )
 
@@ -180,6 +186,7 @@
                 f" {found.orders_accepted} orders after {state.reported}"
             )
         state.reported = found.orders_accepted
+        self.late_orders.record_count(entry, found.orders_accepted)
         return found
 
     async def load(
@@ -267,6 +274,24 @@
             now=loop.time(),
         )
 
+    def reserved_slots(self, engine_id: str, now: float) -> int:
+        """Returns the slots to leave free for orders to earlier starts."""
+        state = self.order_states.get(engine_id)
+        if state is None:
+            return 0
+        return self.late_orders.reserved_slots(
+            state.entry, state.orders_accepted, now
+        )
+
+    def late_models(self, engine_id: str, now: float) -> frozenset[str]:
+        """Returns the base models that an engine may still load."""
+        state = self.order_states.get(engine_id)
+        if state is None:
+            return frozenset()
+        return self.late_orders.late_models(
+            state.entry, state.orders_accepted, now
+        )
+
     async def load_model(self, engine_id: str, model: str) -> bool:
         """Orders an engine without a base model to load one.
 
@@ -537,12 +562,26 @@
     async def _send_once(
         self, state: EngineOrderState, order: orders_lib.Order
     ) -> orders_lib.OrderReply:
-        return await self.orders.send(
-            state.entry,
+        entry = state.entry
+        # Without a reply, also if the task is cancelled, it stays recorded.
+        load = self.late_orders.record_sent(
+            entry,
             order,
             orders_accepted=state.orders_accepted,
-            token=self.token(),
+            now=asyncio.get_running_loop().time(),
         )
+        try:
+            reply = await self.orders.send(
+                entry,
+                order,
+                orders_accepted=state.orders_accepted,
+                token=self.token(),
+            )
+        except errors.EngineUnreachableError:
+            self.late_orders.record_reply(entry.engine_id, load)
+            raise
+        self.late_orders.record_reply(entry.engine_id, load)
+        return reply
 
     def _record_failure(
         self,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -665,7 +665,8 @@
         if key not in engine.in_memory:
             cost += STORE_LOAD_COST
         outdated = engine.adapter_slots.get(key)
-        if len(engine.adapter_slots) < candidate.capacity and outdated is None:
+        fillable = candidate.capacity - candidate.kept_free
+        if len(engine.adapter_slots) < fillable and outdated is None:
             return cost, candidate, None
         if engine.has_waiting_unload:
             return None  # it rejects further unloads
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -650,3 +650,38 @@
     ]
     assert delays[0] == 0.0
     assert 0.3 < delays[1] <= 0.5
+
+
+@pytest.mark.parametrize(
+    ("token", "leading_seconds", "listed_seconds", "expected"),
+    [
+        pytest.param(2, 1.0, 0.5, True, id="started_since"),
+        pytest.param(2, 1.0, 10.0, True, id="started_shortly_before"),
+        pytest.param(2, 1.0, 30.0, False, id="ran_before"),
+        pytest.param(2, 30.0, 0.5, False, id="orders_are_too_old"),
+        pytest.param(1, 1.0, 0.5, False, id="first_leader"),
+    ],
+)
+async def test_new_leader_reckons_with_orders_of_the_previous_one(
+    table: fleet_fakes.FakeLeaseTable,
+    orders: fleet_fakes.FakeOrders,
+    token: int,
+    leading_seconds: float,
+    listed_seconds: float,
+    expected: bool,
+) -> None:
+    """Guards against a load that the previous leader sent to an earlier start.
+
+    Times are the seconds since then.
+    """
+    node = make("n1", table, orders)
+    now = asyncio.get_running_loop().time()
+    node.lease.record = order_lease.Record(
+        node="n1", address="127.0.0.1:1", token=token
+    )
+    node.leader.leading_since = now - leading_seconds
+    engine = engines.Engine(entry(), listed_at=now - listed_seconds)
+    found = node.leader._may_have_unknown_late_order(  # noqa: SLF001
+        engine, now
+    )
+    assert found is expected
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -657,3 +657,32 @@
     with pytest.raises(errors.EngineError, match="orders after 1"):
         await bench.loader.read_state(ENTRY, capacity=1)
     assert bench.placement.has_slot("e1", KEY)
+
+
+async def test_load_of_a_cancelled_task_is_remembered(bench: Bench) -> None:
+    """Guards against an order that is forgotten as its leader steps down."""
+
+    async def never_reply(*args: object, **kwargs: object) -> None:
+        await asyncio.Event().wait()
+
+    bench.engine.send = never_reply  # type: ignore[method-assign, assignment]
+    loading = asyncio.ensure_future(
+        bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    )
+    await asyncio.sleep(0.05)
+    loading.cancel()
+    await asyncio.wait({loading})
+    now = asyncio.get_running_loop().time()
+    restarted = dataclasses.replace(ENTRY, born_ms=2)
+    late_orders = bench.loader.late_orders
+    assert late_orders.reserved_slots(restarted, 0, now) == 1
+
+
+async def test_load_that_was_not_sent_is_not_remembered(bench: Bench) -> None:
+    async def refuse(*args: object, **kwargs: object) -> None:
+        raise errors.EngineUnreachableError("connection refused")
+
+    bench.engine.send = refuse  # type: ignore[method-assign, assignment]
+    with pytest.raises(loader_lib.OrderFailedError):
+        await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
+    assert not any(bench.loader.late_orders.sent.values())
--- a/packages/dogwoodhinge/testing/fleet/test_node_view.py
+++ b/packages/dogwoodhinge/testing/fleet/test_node_view.py
@@ -1,6 +1,7 @@
 """Tests of a node's view of engines, versions and the configuration."""
 
 import asyncio
+import dataclasses
 import datetime
 import random
 
@@ -349,3 +350,29 @@
     )
     empty = [base_models.EmptyEngine("e1", "llm")]
     assert loads.choose(empty, engine_class=small, copies={}, now=0.0) == []
+
+
+@pytest.mark.parametrize(
+    ("late", "expected"),
+    [
+        pytest.param(frozenset(), ["a"], id="none"),
+        pytest.param(frozenset({"b"}), ["b"], id="the_same_one"),
+        pytest.param(frozenset({"a", "b"}), [], id="more_than_one"),
+    ],
+)
+def test_model_of_a_late_order_is_loaded_or_none(
+    late: frozenset[str], expected: list[str]
+) -> None:
+    """Guards against two base models on one engine, beyond its memory."""
+    base = engine_class(5).base_models["base"]
+    two_models = dataclasses.replace(
+        engine_class(5),
+        base_models={n: dataclasses.replace(base, name=n) for n in ("a", "b")},
+    )
+    chosen = base_models.BaseModelLoads().choose(
+        [base_models.EmptyEngine("e1", "llm", late)],
+        engine_class=two_models,
+        copies={},
+        now=0.0,
+    )
+    assert [model for _, model in chosen] == expected
--- a/packages/dogwoodhinge/testing/fleet/test_order_faults.py
+++ b/packages/dogwoodhinge/testing/fleet/test_order_faults.py
@@ -3,7 +3,8 @@
 Engines reply as the platform's do: a load takes time and holds a slot
 meanwhile, a few loads are on their way at once, an unload waits for its
 requests, reports lag, and an order may get no reply and be carried out seconds
-later, if the number of orders still fits.
+later, if the number of orders still fits, also by a later start of its engine.
+An engine that restarts has no base model.
 """
 
 import asyncio
@@ -40,6 +41,7 @@
 HEARTBEAT_SECONDS = 1.2
 REPLY_TIMEOUT_SECONDS = 0.1
 LOAD_SECONDS = (0.03, 0.9)
+MODEL_LOAD_SECONDS = 0.8
 LATE_ORDER_SECONDS = (2.0, 12.0)
 REQUEST_SECONDS = (0.1, 2.5)
 USE_REPORT_SECONDS = 0.25
@@ -108,6 +110,8 @@
     born_ms: int
     resident: frozenset[str]
     pending: frozenset[str]
+    has_model: bool
+    busy: bool
 
 
 class Engine:
@@ -116,6 +120,8 @@
     Attributes:
         overfilled: loads that were ordered without a free slot.
         rejected: orders answered with a conflict.
+        has_model: whether it holds the base model; an order loads it.
+        busy: whether that order is in progress.
     """
 
     def __init__(
@@ -128,12 +134,14 @@
         self.rejected = 0
         self.born_ms = 0
         self.states: collections.deque[State] = collections.deque()
-        self.restart()
+        self.restart(has_model=True)
 
-    def restart(self) -> None:
+    def restart(self, *, has_model: bool = False) -> None:
         """Starts again under the same id, without adapters."""
         self.born_ms += 1
         self.accepted = 0
+        self.has_model = has_model
+        self.busy = False
         self.resident: set[str] = set()
         self.pending: set[str] = set()
         self.unloading: set[str] = set()
@@ -151,7 +159,8 @@
             waiting=0,
             running=0,
             born_ms=state.born_ms,
-            models=held(state.resident),
+            models=held(state.resident) if state.has_model else {},
+            busy=state.busy,
             pending={
                 models.AdapterKey(MODEL, name): 1
                 for name in sorted(state.pending)
@@ -170,7 +179,7 @@
             leaving=False,
             born_ms=self.born_ms,
             orders_accepted=self.accepted,
-            models=held(frozenset(self.resident)),
+            models=held(frozenset(self.resident)) if self.has_model else {},
         )
 
     async def send(
@@ -198,6 +207,10 @@
     ) -> orders.OrderReply:
         name = order.key.adapter
         load = order.operation is orders.Operation.LOAD
+        if not name:
+            return self._load_model(orders_accepted)
+        if not self.has_model:
+            return orders.OrderReply.GONE
         if load and name in self.resident | self.pending:
             return orders.OrderReply.ACCEPTED
         blocked = (
@@ -230,6 +243,25 @@
         self._record()
         return reply
 
+    def _load_model(self, orders_accepted: int) -> orders.OrderReply:
+        if self.has_model:
+            return orders.OrderReply.DONE
+        if self.busy or orders_accepted != self.accepted:
+            return orders.OrderReply.CONFLICT
+        self.accepted += 1
+        self.busy = True
+        self._record()
+        asyncio.get_running_loop().call_later(
+            MODEL_LOAD_SECONDS, self._finish_model, self.born_ms
+        )
+        return orders.OrderReply.ACCEPTED
+
+    def _finish_model(self, born_ms: int) -> None:
+        if born_ms == self.born_ms:
+            self.busy = False
+            self.has_model = True
+            self._record()
+
     def _finish_load(self, name: str, born_ms: int) -> None:
         if born_ms == self.born_ms:
             self.pending.discard(name)
@@ -259,6 +291,8 @@
                 self.born_ms,
                 frozenset(self.resident),
                 frozenset(self.pending),
+                self.has_model,
+                self.busy,
             )
         )
 
@@ -467,6 +501,13 @@
     "lost_replies": Faults(reply_lost=0.3),
     "both": Faults(late=0.2, reply_lost=0.2),
     "restarts": Faults(late=0.2, restart_seconds=8.0),
+    "frequent_restarts": Faults(late=0.35, restart_seconds=5.0),
+    "restarts_and_leader_changes": Faults(
+        late=0.3, restart_seconds=8.0, leader_seconds=6.0
+    ),
+    "restarts_and_lapses": Faults(
+        late=0.3, restart_seconds=8.0, lapse_seconds=5.0
+    ),
     "leader_changes": Faults(late=0.2, reply_lost=0.1, leader_seconds=8.0),
     "lease_lapses": Faults(late=0.2, reply_lost=0.2, lapse_seconds=5.0),
     "all": Faults(
@@ -486,8 +527,24 @@
     asyncio.set_event_loop(None)
 
 
-@pytest.mark.parametrize("seed", range(4))
-@pytest.mark.parametrize("case", CASES)
+# Seeds by which an order to an earlier start of an engine overfilled it.
+LATE_ORDERS_AFTER_RESTARTS = [
+    ("frequent_restarts", 6),
+    ("frequent_restarts", 7),
+    ("restarts_and_leader_changes", 6),
+    ("restarts_and_leader_changes", 17),
+    ("restarts_and_lapses", 17),
+    ("all", 18),
+]
+
+
+@pytest.mark.parametrize(
+    ("case", "seed"),
+    [
+        *((case, seed) for case in CASES for seed in range(4)),
+        *LATE_ORDERS_AFTER_RESTARTS,
+    ],
+)
 def test_no_engine_is_filled_beyond_its_slots(case: str, seed: int) -> None:
     """Regression (LIMIT): the leader's belief and the engine disagreed."""
     world = play(CASES[case], seed)
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -1,5 +1,7 @@
 """Tests of the placement of adapters and the choice of evicted ones."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -736,3 +738,25 @@
     placement.drop_node("n1")
     placement.record_assigned_use("n1", key(0))
     assert not placement.in_use
+
+
+def test_slot_kept_free_is_filled_by_no_load_but_others_are_reused() -> None:
+    """An order of the previous leader may still load an adapter there."""
+    placement = make_placement("e1")
+    keeping = dataclasses.replace(candidate("e1"), kept_free=1)
+    for number in range(CAPACITY - 1):
+        load(placement, number, "e1", 0.0)
+    assignment = find(placement, CAPACITY, keeping, now=60.0)
+    assert isinstance(assignment, adapter_slots_lib.Assignment)
+    assert assignment.evict is not None
+
+
+def test_full_engine_still_replaces_adapters_while_a_slot_is_kept() -> None:
+    """Guards against a takeover after which no engine loads anything."""
+    placement = make_placement("e1")
+    keeping = dataclasses.replace(candidate("e1"), kept_free=1)
+    for number in range(CAPACITY):
+        load(placement, number, "e1", 0.0)
+    assignment = find(placement, CAPACITY, keeping, now=60.0)
+    assert isinstance(assignment, adapter_slots_lib.Assignment)
+    assert assignment.evict is not None
