Unfinished events have a limit over all streams of a node

What callers see: a node runs out of memory and ends with all its requests, while engines send events without end (the report of endless bytes).

Cause: an unfinished event may take 1 MB, for each of the hundreds of streams that a node has connections for.

Why it works: above 24 MB over all streams, those whose event exceeds 32 KB end, as an interrupted response. Events of sound engines are shorter and are not affected; a single long one still may take 1 MB.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/event_stream.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/event_stream.py
@@ -8,6 +8,11 @@
 # A response fails if one of its events is longer.
 MAX_EVENT_BYTES = 1024 * 1024
 
+# The unfinished events of all streams together. Above it, those fail that are
+# longer than SHORT_EVENT_BYTES: a sound engine's events are much shorter.
+MAX_UNFINISHED_BYTES = 24 * 1024 * 1024
+SHORT_EVENT_BYTES = 32 * 1024
+
 # An empty line begins where one line end follows another; CRLF is a single one.
 EMPTY_LINE_STARTS = (b"\n\n", b"\n\r", b"\r\r")
 MAX_EMPTY_LINE_BYTES = 3
@@ -32,6 +37,44 @@
     event_id: str | None
 
 
+class EventTooLongError(ValueError):
+    """An event exceeds its limit, or the share that it has of the memory."""
+
+
+@final
+class UnfinishedEvents:
+    """The memory that unfinished events take, over all streams.
+
+    Load pattern: faulty engines that send events without end on hundreds of
+    streams at once.
+
+    Attributes:
+        total_bytes: size of all unfinished events.
+    """
+
+    def __init__(self) -> None:
+        self.total_bytes = 0
+
+    def resize(self, before: int, now: int) -> None:
+        """Records the size of one stream's unfinished event.
+
+        Args:
+            before: its size when it was recorded last, in bytes.
+            now: its size now, in bytes; 0 once the stream has ended.
+
+        Raises:
+            EventTooLongError: the stream must end; its size is recorded.
+        """
+        self.total_bytes += now - before
+        if now > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        if now > SHORT_EVENT_BYTES and self.total_bytes > MAX_UNFINISHED_BYTES:
+            raise EventTooLongError(
+                f"an event exceeds {SHORT_EVENT_BYTES} bytes while all"
+                f" unfinished ones exceed {MAX_UNFINISHED_BYTES} bytes"
+            )
+
+
 @final
 class EventTracker:
     """Tells where in an event a stream ends, whatever its line ends are.
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -69,6 +69,7 @@
 
     Attributes:
         switching: by service, requests that an engine is being secured for.
+        unfinished_events: what all streams buffer of unfinished events.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         self.engine_finder = engine_finder
         self.budget = budget
         self.switching: collections.Counter[str] = collections.Counter()
+        self.unfinished_events = event_stream.UnfinishedEvents()
 
     async def forward(self, call: call_lib.Call, reply: server.Reply) -> None:
         """Streams a response, from more than one engine if necessary.
@@ -94,7 +96,7 @@
             RequestRejectedError: the request did not run.
             OutcomeUnknownError: the request may have run.
         """
-        relay = Relay(call, reply)
+        relay = Relay(call, reply, self.unfinished_events)
         try:
             await self._forward_until_answered(call, relay)
         except (errors.RequestRejectedError, errors.OutcomeUnknownError):
@@ -501,11 +503,18 @@
             None once another engine has responded.
         failure: the latest failure that an engine responded with, and its
             body, kept in case that no other engine responds.
+        unfinished_events: what all streams buffer of unfinished events.
     """
 
-    def __init__(self, call: call_lib.Call, reply: server.Reply) -> None:
+    def __init__(
+        self,
+        call: call_lib.Call,
+        reply: server.Reply,
+        unfinished_events: event_stream.UnfinishedEvents,
+    ) -> None:
         self.call = call
         self.reply = reply
+        self.unfinished_events = unfinished_events
         self.last_event_id = call.request.resume_after
         self.prepared_selection: engine_finder_lib.EngineSelection | None = None
         self.left_selection: engine_finder_lib.EngineSelection | None = None
@@ -599,18 +608,22 @@
             silence_timeout=STREAM_PAUSE_TIMEOUT,
             prepare_switch=prepare_switch,
         )
-        async for chunk in chunks:
-            tracker.feed(chunk)
-            for event in splitter.feed(chunk):
-                self._begin(response.head)
-                await self.reply.write(event.data)
-                self.call.record_event()
-                if event.event_id is not None:
-                    self.last_event_id = event.event_id
-            if len(splitter.buffer) > event_stream.MAX_EVENT_BYTES:
-                raise sender_lib.IncompleteResponseError(
-                    f"an event exceeds {event_stream.MAX_EVENT_BYTES} bytes"
-                )
+        buffered = 0
+        try:
+            async for chunk in chunks:
+                tracker.feed(chunk)
+                for event in splitter.feed(chunk):
+                    self._begin(response.head)
+                    await self.reply.write(event.data)
+                    self.call.record_event()
+                    if event.event_id is not None:
+                        self.last_event_id = event.event_id
+                before, buffered = buffered, len(splitter.buffer)
+                self.unfinished_events.resize(before, buffered)
+        except event_stream.EventTooLongError as error:
+            raise sender_lib.IncompleteResponseError(str(error)) from error
+        finally:
+            self.unfinished_events.resize(buffered, 0)
         self._check_stream_end(response, tracker)
         self._begin(response.head)
         if splitter.buffer:
--- a/packages/dogwoodhinge/testing/test_event_stream.py
+++ b/packages/dogwoodhinge/testing/test_event_stream.py
@@ -115,3 +115,31 @@
         tracker = track(data, list(range(0, len(data), size)))
         assert tracker.has_event == has_event
         assert tracker.unfinished == unfinished
+
+
+def test_long_events_fail_once_all_take_too_much_memory() -> None:
+    """Short ones, which sound engines send, do not."""
+    unfinished = event_stream.UnfinishedEvents()
+    count = event_stream.MAX_UNFINISHED_BYTES // event_stream.MAX_EVENT_BYTES
+    for _ in range(count):
+        unfinished.resize(0, event_stream.MAX_EVENT_BYTES)
+    unfinished.resize(0, event_stream.SHORT_EVENT_BYTES)
+    with pytest.raises(event_stream.EventTooLongError, match="while all"):
+        unfinished.resize(0, event_stream.SHORT_EVENT_BYTES + 1)
+
+
+def test_ended_streams_take_no_memory() -> None:
+    unfinished = event_stream.UnfinishedEvents()
+    for size in (1_000, event_stream.MAX_EVENT_BYTES):
+        unfinished.resize(0, size)
+        unfinished.resize(size, 0)
+    assert unfinished.total_bytes == 0
+
+
+def test_single_event_has_its_own_limit() -> None:
+    unfinished = event_stream.UnfinishedEvents()
+    too_long = event_stream.MAX_EVENT_BYTES + 1
+    with pytest.raises(event_stream.EventTooLongError):
+        unfinished.resize(0, too_long)
+    unfinished.resize(too_long, 0)
+    assert unfinished.total_bytes == 0
