Own path: responses that do not end have limits in size and time

What callers see: a node of the product's own path runs out of memory and ends with the requests of all (the report of endless bytes).

Cause: the HTTP client of engines, services and stores read each body whole, whatever its size, up to the timeout of 60 s; the body of a refused generation without any limit of time. Events before the first token, and the events of a complete response, were collected without a limit as well.

Ruled out: endless heads, garbage, informational responses and trailers, which the library bounds; a single event without end, bounded before.

Done: limits by kind of response; an error's body is read for 1 s and 64 KB, after which its status counts; 1 MB before the first token; 8 MB for a complete response. Load reports open a connection each, as all other requests to engines do, so that a repeated report is no answer to the next one.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/callers/generation_handlers.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/callers/generation_handlers.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from _dogwoodhinge import decisions as decisions_lib
+from _dogwoodhinge import errors
 from _dogwoodhinge import injection
 from _dogwoodhinge.callers import authentication
 from _dogwoodhinge.callers import bodies
@@ -22,6 +23,10 @@
 from _dogwoodhinge.dispatch import generation_requests
 
 WRITE_TIMEOUT = datetime.timedelta(seconds=30)
+
+# A complete response is collected up to this size.
+MAX_COLLECTED_BYTES = 8 * 1024 * 1024
+
 END_EVENT = b"data: [DONE]\n\n"
 OWNED_BY = "dogwoodhinge"
 
@@ -71,7 +76,14 @@
         events: AsyncGenerator[bytes, None],
     ) -> web.Response:
         assembler = response_assembler.ResponseAssembler(body.path)
+        size = 0
         async for data in events:
+            size += len(data)
+            if size > MAX_COLLECTED_BYTES:
+                raise errors.OutcomeUnknownError(
+                    f"the response exceeds {MAX_COLLECTED_BYTES} bytes; request"
+                    " fewer tokens or a stream"
+                )
             assembler.add(data)
         await self._record_end(generation_request, "whole")
         return web.json_response(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/engine_run.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/dispatch/engine_run.py
@@ -24,6 +24,9 @@
 # An engine may queue and prefill a request before the first token.
 FIRST_TOKEN_TIMEOUT_FACTOR = 3
 
+# Events before the first token are buffered up to this size.
+MAX_BYTES_BEFORE_TOKEN = 1024 * 1024
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -199,6 +202,7 @@
         self.connections += 1
         resumed_at = self.offset
         buffered: collections.deque[bytes] = collections.deque()
+        buffered_bytes = 0
         try:
             while True:
                 chunk = await self._next_chunk(stream)
@@ -208,6 +212,9 @@
                     continue
                 self._check_missing_tokens(chunk)
                 buffered.append(chunk.data)
+                if not self.offset:
+                    buffered_bytes += len(chunk.data)
+                self._check_buffer(buffered_bytes)
                 await self._advance(chunk)
                 # Events before the first token are buffered: until that
                 # token the request can still be retried on another engine.
@@ -282,6 +289,14 @@
             return False
         return chunk.data == self.last_data or _has_token(chunk.data)
 
+    def _check_buffer(self, size: int) -> None:
+        if size > MAX_BYTES_BEFORE_TOKEN:
+            raise public_errors.StreamBrokenError(
+                f"the engine sent more than {MAX_BYTES_BEFORE_TOKEN} bytes "
+                "before the first token",
+                offset=self.offset,
+            )
+
     def _check_missing_tokens(self, chunk: models.StreamChunk) -> None:
         tokens = chunk.offset - self.offset
         if tokens > 1 and tokens != _token_count(chunk.data):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_client.py
@@ -15,6 +15,7 @@
 from typing import final
 import urllib.parse
 
+from absl import logging
 import aiohttp
 
 from _dogwoodhinge.platform import errors
@@ -23,6 +24,14 @@
 KEEPALIVE_SECONDS = 10.0
 POOL_SIZE = 64
 
+# Limit for the bodies of responses, unless a caller states another one.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+# The body of an error is read up to this size and time: its status counts, also
+# if the body does not end.
+MAX_ERROR_BYTES = 64 * 1024
+ERROR_BODY_TIMEOUT = datetime.timedelta(seconds=1)
+
 # aiohttp raises these before it writes any byte of the request.
 NOT_SENT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -98,23 +107,28 @@
         self.bytes_in = 0
 
     async def exchange(
-        self, request: Request, *, timeout: datetime.timedelta
+        self,
+        request: Request,
+        *,
+        timeout: datetime.timedelta,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """Sends a request once and reads the complete response.
 
         Args:
             request: request to send.
             timeout: limit from the start of connecting to the last byte.
+            max_body_bytes: maximum size of the response's body.
 
         Raises:
             RequestNotSentError: the connection failed.
             IncompleteResponseError: the server may have processed the
-                request.
+                request; its response was not received, or exceeds the limit.
         """
         async with self.open(request, timeout=timeout) as response:
             framed = _is_framed(response)
             closed = None if framed else _closed_future(response)
-            body = await self.read(response)
+            body = await self.read(response, max_bytes=max_body_bytes)
             if closed is not None and closed.done():
                 # The library takes a reset for the end of the body.
                 closed.result()
@@ -174,11 +188,37 @@
             if pool is not self.pool and not pool.active_exchanges:
                 await pool.session.close()
 
-    async def read(self, response: aiohttp.ClientResponse) -> bytes:
-        """Reads the whole response body; call it inside `open`."""
-        body = await response.read()
-        self.bytes_in += len(body)
-        return body
+    async def read(
+        self, response: aiohttp.ClientResponse, *, max_bytes: int
+    ) -> bytes:
+        """Reads the whole response body; call it inside `open`.
+
+        Raises:
+            IncompleteResponseError: the body exceeds `max_bytes`.
+        """
+        body = bytearray()
+        while data := await response.content.readany():
+            self.bytes_in += len(data)
+            body += data
+            if len(body) > max_bytes:
+                raise errors.IncompleteResponseError(
+                    f"the response of {self.base_url} exceeds {max_bytes} bytes"
+                )
+        return bytes(body)
+
+    async def read_error(self, response: aiohttp.ClientResponse) -> bytes:
+        """Reads the body of an error; empty if it is too long or too late."""
+        try:
+            async with asyncio.timeout(ERROR_BODY_TIMEOUT.total_seconds()):
+                return await self.read(response, max_bytes=MAX_ERROR_BYTES)
+        except (TimeoutError, errors.IncompleteResponseError) as error:
+            logging.warning(
+                "the body of an error with status %d of %s is ignored: %r",
+                response.status,
+                self.base_url,
+                error,
+            )
+            return b""
 
     async def close(self) -> None:
         """Closes the pooled connections; a later request opens new ones."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_sd.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_sd.py
@@ -18,6 +18,7 @@
 
 SCHEME = "sd"
 CALL_TIMEOUT = datetime.timedelta(seconds=2)
+MAX_LIST_BYTES = 16 * 1024 * 1024
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
 
@@ -44,7 +45,9 @@
         headers = {"If-None-Match": self.etag} if self.etag else {}
         request = http_client.Request(method="GET", path="", headers=headers)
         try:
-            response = await self.client.exchange(request, timeout=CALL_TIMEOUT)
+            response = await self.client.exchange(
+                request, timeout=CALL_TIMEOUT, max_body_bytes=MAX_LIST_BYTES
+            )
         except platform_errors.ExchangeError as error:
             raise errors.HostListError(str(error)) from error
         if response.status == STATUS_OK:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_service.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_service.py
@@ -12,6 +12,9 @@
 
 HTTP_SCHEMES = ("http://", "https://")
 
+# Longer answers count as incomplete.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
 
 @hookimpl.hookimpl
 def open_plain_service(
@@ -50,7 +53,9 @@
             new_connection=True,
         )
         try:
-            response = await self.client.exchange(request, timeout=timeout)
+            response = await self.client.exchange(
+                request, timeout=timeout, max_body_bytes=MAX_ANSWER_BYTES
+            )
         except platform_errors.RequestNotSentError as error:
             raise errors.PlainServiceUnreachableError(str(error)) from error
         except platform_errors.IncompleteResponseError as error:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/openai_engine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/openai_engine.py
@@ -1,8 +1,8 @@
 """Engines with the OpenAI-compatible HTTP interface and LoRA load calls.
 
 The extensions (fencing token, priority, cancel, resume, load report) are in
-docs/protocols.md. Each stream and each order opens a new connection, so that
-none waits on a dead pooled connection.
+docs/protocols.md. Each request opens a new connection, so that none waits on a
+dead pooled connection, or gets a late response to an earlier one.
 """
 
 from collections.abc import AsyncIterator, Mapping
@@ -96,7 +96,9 @@
 
     async def report(self) -> models.EngineReport:
         """Fetches the load report."""
-        request = http_client.Request(method="GET", path="/v1/load_report")
+        request = http_client.Request(
+            method="GET", path="/v1/load_report", new_connection=True
+        )
         try:
             response = await self.client.exchange(
                 request, timeout=REPORT_TIMEOUT
@@ -120,7 +122,7 @@
                 _generation_request(request), read_timeout=READ_TIMEOUT
             ) as stream_response:
                 if stream_response.status != STATUS_OK:
-                    body = await self.client.read(stream_response)
+                    body = await self.client.read_error(stream_response)
                     raise _error_for_status(
                         stream_response.status,
                         body,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/s3_objects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/s3_objects.py
@@ -14,6 +14,7 @@
 
 SCHEME = "s3"
 CALL_TIMEOUT = datetime.timedelta(seconds=10)
+MAX_OBJECT_BYTES = 64 * 1024 * 1024
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_PRECONDITION_FAILED = 412
@@ -105,7 +106,9 @@
             method=method, path=path, body=body, headers=headers or {}
         )
         try:
-            return await self.client.exchange(request, timeout=CALL_TIMEOUT)
+            return await self.client.exchange(
+                request, timeout=CALL_TIMEOUT, max_body_bytes=MAX_OBJECT_BYTES
+            )
         except platform_errors.ExchangeError as error:
             raise errors.ObjectStoreError(str(error)) from error
 
--- a/packages/dogwoodhinge/testing/callers/test_app.py
+++ b/packages/dogwoodhinge/testing/callers/test_app.py
@@ -9,6 +9,7 @@
 import pytest
 
 from _dogwoodhinge import injection
+from _dogwoodhinge.callers import generation_handlers
 from dogwoodhinge_lab import dispatch_fakes
 from dogwoodhinge_lab import memory_table
 
@@ -355,3 +356,14 @@
     assert int(head.split()[1]) == status
     assert json.loads(text)["run"] == "no"
     assert harness.service.runs == []
+
+
+async def test_complete_response_without_end_is_an_error(
+    http: aiohttp.ClientSession, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a node that collects a generation without end."""
+    monkeypatch.setattr(generation_handlers, "MAX_COLLECTED_BYTES", 100)
+    async with http.post(COMPLETIONS, data=body()) as response:
+        problem = await response.json()
+    assert (response.status, problem["run"]) == (504, "unknown")
+    assert "exceeds 100 bytes" in json.dumps(problem)
--- a/packages/dogwoodhinge/testing/dispatch/test_generations.py
+++ b/packages/dogwoodhinge/testing/dispatch/test_generations.py
@@ -341,6 +341,33 @@
     assert len(events) == (3 if whole else 1)
 
 
+async def test_endless_events_before_the_first_token_are_bounded(
+    generations: generations_lib.Generations,
+    cluster: dispatch_fakes.FakeCluster,
+    make_request: MakeRequest,
+) -> None:
+    """Regression: a node kept all of them until the request's deadline."""
+    data = json.dumps({"tokens": 0, "padding": "x" * 65_536}).encode()
+    sent = 0
+
+    async def open_stream(
+        request: models.EngineRequest,
+    ) -> AsyncIterator[models.StreamChunk]:
+        nonlocal sent
+        for _ in range(1_000):
+            sent += 1
+            yield models.StreamChunk(request.request_id, 0, data)
+
+    for engine in cluster.engines.values():
+        engine.open_stream = open_stream  # type: ignore[method-assign]
+    events: list[bytes] = []
+    with pytest.raises(errors.DispatchError):
+        await read(generations, make_request(), events)
+    await generations.settle()
+    assert events == []
+    assert sent < 500
+
+
 async def test_engine_that_leaves_after_the_grant_gets_no_request(
     generations: generations_lib.Generations,
     cluster: dispatch_fakes.FakeCluster,
