Only a report that lists all orders shows a count that is ahead

A report lags behind the engine by some hundred milliseconds. A load that was sent within that time states a larger count than the report, and a slot was kept free for it although the engine had room.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/loader.py
@@ -174,6 +174,10 @@
                 an earlier time than the latest one.
         """
         entry = state.entry
+        loop = asyncio.get_running_loop()
+        lists_all_orders = (
+            loop.time() - state.last_order_at >= REPORT_LAG.total_seconds()
+        )
         found = await self.orders.report(entry)
         if found.born_ms != entry.born_ms and found.born_ms and entry.born_ms:
             raise errors.EngineError(
@@ -186,7 +190,8 @@
                 f" {found.orders_accepted} orders after {state.reported}"
             )
         state.reported = found.orders_accepted
-        self.late_orders.record_count(entry, found.orders_accepted)
+        if lists_all_orders:
+            self.late_orders.record_count(entry, found.orders_accepted)
         return found
 
     async def load(
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -686,3 +686,27 @@
     with pytest.raises(loader_lib.OrderFailedError):
         await bench.loader.load(bench.reserve(KEY, 0.0), KEY)
     assert not any(bench.loader.late_orders.sent.values())
+
+
+@pytest.mark.parametrize(
+    ("seconds", "reserved"),
+    [
+        pytest.param(0.0, 0, id="lags_behind_the_order"),
+        pytest.param(1.0, 1, id="lists_all_orders"),
+    ],
+)
+async def test_only_a_report_of_all_orders_shows_a_count_that_is_ahead(
+    bench: Bench, seconds: float, reserved: int
+) -> None:
+    """Guards against a slot kept free for an order that had room."""
+    now = asyncio.get_running_loop().time()
+    state = bench.loader.order_states["e1"]
+    state.last_order_at = now - seconds
+    bench.loader.late_orders.record_sent(
+        ENTRY,
+        orders.Order(orders.Operation.LOAD, KEY),
+        orders_accepted=1,
+        now=now,
+    )
+    await bench.loader.reconcile("e1")
+    assert bench.loader.reserved_slots("e1", now) == reserved
