Log lines name the shared parts of prompts

The lines request and engine_ended_connection name the parts now, up to eight, without the last one, which is the request's own. No decision reads them.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -20,6 +20,10 @@
 # Time from the end of a wait to the first event, of most requests.
 START_MARGIN = datetime.timedelta(milliseconds=700)
 
+# Parts of a prompt that a log line names, and the length of each id.
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_PART_LENGTH = 40
+
 MIN_CALLER_PATIENCE = datetime.timedelta(seconds=2)
 CALLER_PATIENCE_TARGETS = 4
 CALLER_PATIENCE_PAUSES = 8
@@ -95,6 +99,14 @@
         """What identifies the request when it is sent again."""
         return content.fingerprints(self.request)
 
+    @property
+    def logged_parts(self) -> list[str]:
+        """The shared parts of the prompt, shortened for log lines."""
+        return [
+            part[:MAX_LOGGED_PART_LENGTH]
+            for part in self.request.shared_parts[:MAX_LOGGED_PARTS]
+        ]
+
     def time_left(self) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline - asyncio.get_running_loop().time()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -304,6 +304,7 @@
         if sent is not None:
             fields["sent_ms"] = int(sent * 1000)
         if call.request.adapter is not None:
+            fields["parts"] = call.logged_parts
             fields["prompt_tokens"] = call.request.prompt_tokens
             fields["adapter"] = str(call.request.adapter)
             fields["found_by"] = call.found_by
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -19,6 +19,8 @@
         adapter: the requested adapter or base model; None for plain services.
         prompt_tokens: number of tokens in the prompt.
         output_tokens: maximum number of tokens to generate.
+        shared_parts: ids of the parts of the prompt that other requests may
+            share, in order: all but the last, which is the request's own.
         resume_after: id of the last event that the caller received, if it
             resumes a stream.
         raw: the request as it was read.
@@ -31,6 +33,7 @@
     adapter: models.AdapterKey | None
     prompt_tokens: int
     output_tokens: int
+    shared_parts: tuple[str, ...]
     resume_after: str | None
     raw: server.RawRequest
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -204,6 +204,7 @@
             {
                 "request": call.request.request_id,
                 "content": call.fingerprints[0],
+                "parts": call.logged_parts,
                 "engine": _name(run.engine),
                 "state": state.value,
                 "claimed": bool(run.claim),
