Parts of prompts that crash engines are kept from further ones

Cause: what a crash says was kept for the content of a request, and content is new with each of these requests. No two crashes added up. The class: evidence kept under an identity that is narrower than the cause.

Why this works: the quarantine keeps records of the parts that a prompt shares with others, in the same table, with a policy of their own. A part needs claims after the crashes of three engines under two different requests without a success since; two claims that crash convict it, three in all may reach engines. A request with several suspects waits for those with one of them, which show more. A part that has just succeeded at a node is only reported if it doesn't succeed again within a second, and a part that ran to completion before may be claimed more often: the first part of nearly all prompts is in flight at each crash. Crashes of an engine that is reserved for a claim, and prompts whose answer began a second before, blame no part.

Ruled out: a second quarantine (one rule for what nodes must know, one table, one feed); reservations that keep all suspects of one crash from an engine (they would hold most requests of the route).

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -8,6 +8,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.gateway import content
 from _dogwoodhinge.gateway import pause_queue
+from _dogwoodhinge.gateway import prompt_parts
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.http1 import connection as connection_lib
@@ -48,6 +49,7 @@
         first_byte_at: loop time of the first byte to the caller.
         events: number of stream events or chunks forwarded.
         last_event_at: loop time of the last of them.
+        run_began_at: loop time of the first of them from the current engine.
         longest_pause: longest time between two of them, in seconds.
         engine_end: how the last attempt without a valid response ended; see
             `errors.OutcomeUnknownError`.
@@ -87,6 +89,7 @@
         self.events = 0
         self.longest_pause = 0.0
         self.last_event_at: float | None = None
+        self.run_began_at: float | None = None
         self.engine_end = ""
         self.engine_framing = ""
         self.engine_connection = ""
@@ -99,6 +102,11 @@
         """What identifies the request when it is sent again."""
         return content.fingerprints(self.request)
 
+    @functools.cached_property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """The parts that its prompt shares with others."""
+        return prompt_parts.fingerprints(self.request.shared_parts)
+
     @property
     def logged_parts(self) -> list[str]:
         """The shared parts of the prompt, shortened for log lines."""
@@ -226,6 +234,8 @@
             pause = now - self.last_event_at
             self.longest_pause = max(self.longest_pause, pause)
         self.last_event_at = now
+        if self.run_began_at is None:
+            self.run_began_at = now
         self.events += 1
 
     def add_step(self, text: str) -> None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -403,7 +403,10 @@
         else:
             health.record_success(now)
         self.suspects.record_response(
-            call, fetched.run, succeeded=not fetched.failed
+            call,
+            fetched.run,
+            succeeded=not fetched.failed,
+            prompt_answered=fetched.response.head.status < 300,
         )
 
     async def _relay(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -300,7 +300,11 @@
             await self.suspects.record_failure(call, run, error)
             raise
         self.suspects.record_response(
-            call, run, succeeded=response.head.status < 500
+            call,
+            run,
+            succeeded=response.head.status < 500,
+            prompt_answered=response.head.status == 200
+            and call.run_began_at is not None,
         )
 
     async def _exchange(
@@ -311,6 +315,7 @@
     ) -> sender_lib.OpenResponse:
         """Sends the request to an engine and forwards its whole response."""
         engine = selection.engine
+        call.run_began_at = None
         loop = asyncio.get_running_loop()
         prepare_switch = None
         if call.route.resumable:
@@ -352,7 +357,8 @@
                 if response.head.status == 200:
                     self._end_return_option(call, relay)
                 await relay.relay_response(
-                    response, prepare_switch=prepare_switch
+                    response,
+                    prepare_switch=prepare_switch,
                 )
             except errors.OutcomeUnknownError as error:
                 error.ended_by_engine = response.ended_by_engine
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -1,17 +1,24 @@
-"""Keeps a request that crashes engines from being sent to further ones.
+"""Keeps requests that crash engines from being sent to further ones.
 
-Load pattern: a request that crashes each engine that begins to run it, and that
-comes again and again at any node. Beside it, innocent requests are in flight on
-each engine that it crashes, and popular ones on all of them.
+Load patterns: a request that crashes each engine that begins to run it, and
+that comes again and again at any node; prompts that are new each time but for
+one part, under which each engine crashes. Beside them, innocent requests are in
+flight on each engine that crashes, and popular ones on all of them.
 
 After its first crash a request is retried as usual. After the second one, each
 further send needs a claim, which separates the suspects of a crash from each
 other: one run of a request at a time, and one suspect to an engine, over all
 nodes. A claimed run that crashes its engine convicts the request.
+
+A part of prompts that was in flight at the crashes of several engines, under
+different requests, and has not run to completion since, needs such claims too.
+A request runs under a claim on one suspect if possible, so that its end says
+something about that one.
 """
 
 import asyncio
 import collections
+from collections.abc import Collection
 import dataclasses
 import datetime
 from typing import final
@@ -22,12 +29,15 @@
 from _dogwoodhinge.gateway import call as call_lib
 from _dogwoodhinge.gateway import engine_ends as engine_ends_lib
 from _dogwoodhinge.gateway import errors
+from _dogwoodhinge.gateway import prompt_parts
 from _dogwoodhinge.gateway import sender as sender_lib
 from _dogwoodhinge.quarantine import quarantine as quarantine_lib
+from _dogwoodhinge.quarantine import records
 from _dogwoodhinge.quarantine import rules
 
 QUARANTINED = "quarantined"
 RERUN_IN_PROGRESS = "rerun_in_progress"
+SUSPECTS_TRIED_APART = "suspects_tried_apart"
 
 # Most requests end within this time, and with them their claims.
 RERUN_RETRY_DELAY = datetime.timedelta(seconds=1)
@@ -37,6 +47,15 @@
 # write that ends the claim.
 CLAIM_MARGIN = datetime.timedelta(seconds=1)
 
+# A part that has just succeeded here is no suspect of a crash if it succeeds
+# once more within SUCCESS_WAIT.
+RECENT_SUCCESS = datetime.timedelta(seconds=2)
+SUCCESS_WAIT = datetime.timedelta(seconds=1)
+
+# Engines crash as they begin to answer. A prompt whose answer began earlier is
+# not the cause.
+BEGIN_WINDOW = datetime.timedelta(seconds=1)
+
 
 @final
 @dataclasses.dataclass(slots=True)
@@ -44,15 +63,30 @@
     """One send of a request to an engine.
 
     Attributes:
-        fingerprint: the fingerprint that was claimed; empty if it runs without
+        suspects: the fingerprints that were claimed; empty if it runs without
             a claim.
         claim: id of the claim.
     """
 
     engine: engines_lib.Engine
-    fingerprint: str = ""
+    suspects: tuple[str, ...] = ()
     claim: str = ""
 
+    def blame(
+        self, suspect: str, sound_parts: prompt_parts.SoundParts
+    ) -> rules.ClaimBlame:
+        """Returns what a crash under the claim says about a suspect.
+
+        Of several suspects, those that ran to completion before are less
+        likely to be the cause.
+        """
+        if len(self.suspects) == 1:
+            return rules.SOLE_BLAME
+        doubtful = [s for s in self.suspects if s not in sound_parts]
+        return rules.ClaimBlame(
+            sole=False, counted=not doubtful or suspect in doubtful
+        )
+
 
 @final
 class Suspects:
@@ -61,6 +95,7 @@
     Attributes:
         looks: the looks at engines whose results are not reported yet.
         rejected: number of rejected requests, by reason.
+        sound_parts: the parts of prompts that succeeded here lately.
     """
 
     def __init__(
@@ -75,20 +110,16 @@
         self.report = report
         self.looks: set[asyncio.Task[bool]] = set()
         self.rejected: collections.Counter[str] = collections.Counter()
+        self.sound_parts = prompt_parts.SoundParts()
+        self.sole_claims = prompt_parts.SoleClaims()
 
     def check(self, call: call_lib.Call) -> None:
-        """Rejects a convicted request.
+        """Rejects a request that is convicted, or a part of whose prompt is.
 
         Raises:
-            RequestRejectedError: the request is convicted.
+            RequestRejectedError: the request or a part is convicted.
         """
-        if not self.quarantine.cached_records:
-            return
-        try:
-            for fingerprint in call.fingerprints:
-                self.quarantine.needs_claim(fingerprint)
-        except node_errors.QuarantinedError as error:
-            raise self._rejection(call, error) from error
+        self._suspects(call)
 
     async def begin(
         self, call: call_lib.Call, engine: engines_lib.Engine
@@ -99,10 +130,9 @@
             NotRunError: another suspect runs on the engine.
             RequestRejectedError: the request must not run now.
         """
-        self.check(call)
-        claimed = self._fingerprint_to_claim(call)
+        suspects = self._suspects(call)
         engine_name = _name(engine)
-        if not claimed:
+        if not suspects:
             if engine_name in self.quarantine.reservations and any(
                 map(self.quarantine.find, call.fingerprints)
             ):
@@ -112,45 +142,66 @@
                     sent=False,
                 )
             return Run(engine)
+        if not self.sole_claims.may_claim(suspects):
+            detail = "several suspects, which are tried apart first"
+            self._log_rejection(call, SUSPECTS_TRIED_APART, detail, suspects)
+            raise errors.RequestRejectedError(
+                SUSPECTS_TRIED_APART, retry_after=RERUN_RETRY_DELAY
+            )
         call.claims += 1
-        claim = f"{call.request.request_id}/{call.claims}"
+        run = Run(engine, claim=f"{call.request.request_id}/{call.claims}")
+        try:
+            for suspect in suspects:
+                await self._claim(call, run, suspect)
+        except BaseException:
+            self._end_claim(run, rules.ClaimEnd.NOT_SENT)
+            raise
+        if run.suspects:
+            call.add_step(f"claimed {engine.engine_id}")
+            self.report(
+                "quarantine_claimed",
+                {
+                    "request": call.request.request_id,
+                    "content": call.fingerprints[0],
+                    "suspects": run.suspects,
+                    "engine": engine_name,
+                },
+            )
+        return run
+
+    async def _claim(self, call: call_lib.Call, run: Run, suspect: str) -> None:
+        """Claims a suspect for a run, unless it was cleared meanwhile."""
+        time_left = call.gateway_timeout_at - asyncio.get_running_loop().time()
         try:
             held = await self.quarantine.claim(
-                claimed,
-                claim,
-                engine_id=engine_name,
-                longest_run=datetime.timedelta(
-                    seconds=call.gateway_timeout_at
-                    - asyncio.get_running_loop().time()
-                )
+                suspect,
+                run.claim,
+                engine_id=_name(run.engine),
+                longest_run=datetime.timedelta(seconds=time_left)
                 + CLAIM_MARGIN,
+                proven=suspect in self.sound_parts,
             )
         except quarantine_lib.EngineReservedError as error:
             raise errors.NotRunError(
                 str(error), unreachable=True, sent=False
             ) from error
         except node_errors.QuarantinedError as error:
-            raise self._rejection(call, error) from error
+            raise self._rejection(call, error, suspect) from error
         except node_errors.RefusedError as error:
-            self._log_rejection(call, RERUN_IN_PROGRESS, str(error))
+            self._log_rejection(call, RERUN_IN_PROGRESS, str(error), (suspect,))
             raise errors.RequestRejectedError(
                 RERUN_IN_PROGRESS, retry_after=RERUN_RETRY_DELAY
             ) from error
-        if not held:
-            return Run(engine)
-        call.add_step(f"claimed {engine.engine_id}")
-        self.report(
-            "quarantine_claimed",
-            {
-                "request": call.request.request_id,
-                "content": claimed,
-                "engine": engine_name,
-            },
-        )
-        return Run(engine, claimed, claim)
+        if held:
+            run.suspects = (*run.suspects, suspect)
 
     def record_response(
-        self, call: call_lib.Call, run: Run, *, succeeded: bool
+        self,
+        call: call_lib.Call,
+        run: Run,
+        *,
+        succeeded: bool,
+        prompt_answered: bool,
     ) -> None:
         """Records a complete response: the engine survived the request.
 
@@ -159,12 +210,19 @@
             run: the send.
             succeeded: whether the request ran to a good end. A failure may mean
                 that it did not really run.
+            prompt_answered: whether the engine wrote an answer on the prompt,
+                rather than the end of one that another engine wrote.
         """
-        if succeeded and self.quarantine.cached_records:
-            for fingerprint in call.fingerprints:
-                self.quarantine.record_success(
-                    fingerprint, request_id=call.request.request_id
-                )
+        if succeeded:
+            survivors = call.fingerprints
+            if prompt_answered:
+                survivors += call.part_fingerprints
+                self.sound_parts.add(call.part_fingerprints)
+            if self.quarantine.cached_records:
+                for fingerprint in survivors:
+                    self.quarantine.record_success(
+                        fingerprint, request_id=call.request.request_id
+                    )
         self._end_claim(run, rules.ClaimEnd.SURVIVED)
 
     async def record_failure(
@@ -216,52 +274,131 @@
                     fingerprint,
                     customer=call.request.raw.caller_address,
                     engine_id=_name(run.engine),
-                    # The claim is on one of them; the others are not on
-                    # probation, so that it alone may convict.
-                    claim=run.claim if fingerprint == run.fingerprint else "",
+                    # Others than the claimed ones are not on probation.
+                    claim=run.claim if fingerprint in run.suspects else "",
                     request_id=call.request.request_id,
+                    blame=run.blame(fingerprint, self.sound_parts),
                 )
+            self._blame_parts(call, run)
         self._end_claim(run, rules.ClaimEnd.UNKNOWN)
         return ended
 
-    def _fingerprint_to_claim(self, call: call_lib.Call) -> str:
+    def _blame_parts(self, call: call_lib.Call, run: Run) -> None:
+        """Reports the parts of a prompt that may have crashed an engine."""
+        claimed = [part for part in run.suspects if records.is_part(part)]
+        for part in claimed:
+            self._blame_part(call, run, part)
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if (
+            claimed
+            or (not run.claim and _name(run.engine) in self._reserved_engines)
+            or (
+                call.run_began_at is not None
+                and now - call.run_began_at > BEGIN_WINDOW.total_seconds()
+            )
+        ):
+            return  # a claimed part explains the crash, or the answer had begun
+        recently = now - RECENT_SUCCESS.total_seconds()
+        for part in call.part_fingerprints:
+            if self.sound_parts.succeeded_since(part, recently):
+                loop.call_later(
+                    SUCCESS_WAIT.total_seconds(),
+                    self._blame_part_unless_sound,
+                    call,
+                    run,
+                    part,
+                    now,
+                )
+            else:
+                self._blame_part(call, run, part)
+
+    def _blame_part_unless_sound(
+        self, call: call_lib.Call, run: Run, part: str, crashed_at: float
+    ) -> None:
+        if not self.sound_parts.succeeded_since(part, crashed_at):
+            self._blame_part(call, run, part)
+
+    def _blame_part(self, call: call_lib.Call, run: Run, part: str) -> None:
+        self.quarantine.record_crash(
+            part,
+            customer=call.request.raw.caller_address,
+            engine_id=_name(run.engine),
+            claim=run.claim if part in run.suspects else "",
+            request_id=call.request.request_id,
+            content=call.fingerprints[0],
+            proven=part in self.sound_parts,
+            blame=run.blame(part, self.sound_parts),
+        )
+
+    @property
+    def _reserved_engines(self) -> Collection[str]:
+        return self.quarantine.reservations.keys()
+
+    def _suspects(self, call: call_lib.Call) -> tuple[str, ...]:
+        """Returns what of a request may run only under a claim.
+
+        Raises:
+            RequestRejectedError: the request or a part is convicted.
+        """
         if not self.quarantine.cached_records:
-            return ""
-        return next(
-            (f for f in call.fingerprints if self.quarantine.needs_claim(f)),
-            "",
+            return ()
+        return (
+            # One claim on the content serves with and without its query.
+            *self._restricted(call, call.fingerprints)[:1],
+            *self._restricted(call, call.part_fingerprints),
         )
 
+    def _restricted(
+        self, call: call_lib.Call, fingerprints: tuple[str, ...]
+    ) -> list[str]:
+        found = []
+        for fingerprint in fingerprints:
+            try:
+                if self.quarantine.needs_claim(fingerprint):
+                    found.append(fingerprint)
+            except node_errors.QuarantinedError as error:
+                raise self._rejection(call, error, fingerprint) from error
+        return found
+
     def _end_claim(self, run: Run, end: rules.ClaimEnd) -> None:
-        if not run.claim:
-            return
-        self.quarantine.record_claim_end(
-            run.fingerprint, run.claim, engine_id=_name(run.engine), end=end
-        )
+        for suspect in run.suspects:
+            self.quarantine.record_claim_end(
+                suspect, run.claim, engine_id=_name(run.engine), end=end
+            )
+        run.suspects = ()
         run.claim = ""
 
     def _rejection(
-        self, call: call_lib.Call, error: node_errors.QuarantinedError
+        self,
+        call: call_lib.Call,
+        error: node_errors.QuarantinedError,
+        suspect: str,
     ) -> errors.RequestRejectedError:
-        self._log_rejection(call, QUARANTINED, str(error))
+        self._log_rejection(call, QUARANTINED, str(error), (suspect,))
         return errors.RequestRejectedError(
             QUARANTINED, retry_after=error.retry_after, final=True
         )
 
     def _log_rejection(
-        self, call: call_lib.Call, reason: str, detail: str
+        self,
+        call: call_lib.Call,
+        reason: str,
+        detail: str,
+        suspects: tuple[str, ...],
     ) -> None:
         self.rejected[reason] += 1
-        found = map(self.quarantine.find, call.fingerprints)
-        records = [record for record in found if record is not None]
+        found = map(self.quarantine.find, suspects)
+        known = [record for record in found if record is not None]
         self.report(
             "quarantine_rejected",
             {
                 "request": call.request.request_id,
                 "content": call.fingerprints[0],
+                "suspects": suspects,
                 "reason": reason,
                 "detail": detail,
-                "engines": records[0].engines if records else (),
+                "engines": known[0].engines if known else (),
             },
         )
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -1,13 +1,14 @@
 """Keeps requests that crash engines from crashing further ones.
 
-A request that was in flight when an engine crashed is a suspect. After the
-crashes that its `rules.Policy` allows, it is retried only under a claim, which
-a single attempt gets by a conditional write; the same write may reserve the
-engine, so that no other suspect runs there. The retry either clears the suspect
-or, by a crash, convicts it: all nodes reject a convicted request until it may
-be claimed again or its record expires.
-
-Records are rows of a table, by the fingerprint of the request. A node that may
+A request that was in flight when an engine crashed is a suspect, and so may be
+the parts that its prompt shares with others. After the crashes that its
+`rules.Policy` allows, it is retried only under a claim, which a single attempt
+gets by a conditional write; the same write may reserve the engine, so that no
+other suspect runs there. The retry either clears the suspect or, by a crash,
+convicts it: all nodes reject a convicted request until it may be claimed again
+or its record expires.
+
+Records are rows of a table, by fingerprint. A node that may
 wait writes a crash before it answers (`report_crash`). One that may not applies
 changes to its own view at once and writes them in the background; a change that
 could not be written yet can be passed to peers (`unwritten`, `receive`). Times
@@ -90,6 +91,7 @@
         *,
         table: record_table.Table,
         policy: rules.Policy,
+        part_policy: rules.Policy = rules.SHARED_PARTS,
         clock: ports.Clock,
         report: Reporter,
         report_event: event_log.EventReporter,
@@ -101,6 +103,7 @@
         Args:
             table: holds the records of all nodes.
             policy: how many crashes restrict a request.
+            part_policy: how many crashes restrict a part of prompts.
             clock: the clock.
             report: logs changed records.
             report_event: logs failures.
@@ -111,6 +114,7 @@
         super().__init__()
         self.table = record_table.RecordTable(table=table, clock=clock)
         self.policy = policy
+        self.part_policy = part_policy
         self.clock = clock
         self.report = report
         self.report_event = report_event
@@ -124,6 +128,11 @@
         self.writing = asyncio.Lock()
         self.has_unwritten = asyncio.Event()
 
+    def policy_of(self, fingerprint: str) -> rules.Policy:
+        """Returns the policy for a request or a part of prompts."""
+        is_part = records.is_part(fingerprint)
+        return self.part_policy if is_part else self.policy
+
     def find(self, fingerprint: str) -> records.QuarantineRecord | None:
         """Returns the record of a suspect or convicted request."""
         return self.view.find(fingerprint)
@@ -140,7 +149,7 @@
         if record.verdict is records.Verdict.CONVICTED:
             self._check_probation(record)
             return True
-        return len(record.engines) > self.policy.free_crashes
+        return self.policy_of(fingerprint).is_restricted(record)
 
     async def claim(
         self,
@@ -149,6 +158,7 @@
         *,
         engine_id: str = "",
         longest_run: datetime.timedelta | None = None,
+        proven: bool = False,
     ) -> bool:
         """Checks whether an attempt may run, and claims the run of a suspect.
 
@@ -160,6 +170,7 @@
             longest_run: time after which the attempt has ended in any case;
                 None if that is unknown. Then its claim, if the node is lost,
                 counts as abandoned.
+            proven: whether a part is known to have run to completion before.
 
         Returns:
             True if the attempt runs as a suspect and now holds the claim, which
@@ -172,7 +183,7 @@
         """
         if not self.needs_claim(fingerprint):
             return False
-        lifetime = self.policy.claim_lifetime
+        lifetime = self.policy_of(fingerprint).claim_lifetime
         if longest_run is not None:
             lifetime = min(lifetime, longest_run)
         reservation = records.Reservation(
@@ -183,7 +194,7 @@
         try:
             claimed = await self._update(
                 fingerprint,
-                lambda old: self._claimed(old, reservation),
+                lambda old: self._claimed(old, reservation, proven=proven),
                 reservation=reservation,
             )
         except public_errors.TableError as error:
@@ -285,15 +296,37 @@
         engine_id: str,
         claim: str = "",
         request_id: str = "",
+        content: str = "",
+        proven: bool = False,
+        blame: rules.ClaimBlame = rules.SOLE_BLAME,
     ) -> None:
-        """Records that a request was in flight when an engine crashed."""
+        """Records that a request or part was in flight at an engine crash.
+
+        Args:
+            fingerprint: fingerprint of the request or part.
+            customer: customer or caller that sent the request.
+            engine_id: engine that crashed.
+            claim: the claim that it ran under; empty without one.
+            request_id: ID of the attempt, for the log.
+            content: of a part: fingerprint of the request.
+            proven: of a part: whether it ran to completion before.
+            blame: what a crash under the claim says.
+        """
         crash = rules.suspect(
-            fingerprint, customer=customer, engine_id=engine_id
+            fingerprint,
+            customer=customer,
+            engine_id=engine_id,
+            content=content,
+            proven=proven,
         )
         self._apply(
             fingerprint,
             functools.partial(
-                rules.after_crash, crash=crash, claim=claim, policy=self.policy
+                rules.after_crash,
+                crash=crash,
+                claim=claim,
+                policy=self.policy_of(fingerprint),
+                blame=blame,
             ),
             request_id=request_id,
         )
@@ -323,7 +356,10 @@
         self._apply(
             fingerprint,
             functools.partial(
-                _released, claim=claim, end=end, policy=self.policy
+                _released,
+                claim=claim,
+                end=end,
+                policy=self.policy_of(fingerprint),
             ),
         )
         self.has_unwritten.set()
@@ -734,6 +770,8 @@
         self,
         old: records.QuarantineRecord | None,
         reservation: records.Reservation,
+        *,
+        proven: bool,
     ) -> records.QuarantineRecord | None:
         """Returns the record with a claim, or None if no claim is needed."""
         attempt_id = reservation.claim
@@ -748,14 +786,19 @@
                 "only retry is still in progress",
                 retry_after=CLAIM_RETRY_AFTER,
             )
-        limit = self.policy.max_reruns
+        limit = self.policy_of(old.fingerprint).max_reruns
         if (
             limit is not None
             and old.claim != attempt_id
             and old.reruns >= limit
         ):
             return rules.convicted(old)
-        return rules.claimed(old, attempt_id, seconds=reservation.claim_seconds)
+        return rules.claimed(
+            old,
+            attempt_id,
+            seconds=reservation.claim_seconds,
+            proven=proven,
+        )
 
     def _claim_ended(self, record: records.QuarantineRecord) -> bool:
         """Returns whether a claim has outlasted its lifetime."""
@@ -783,13 +826,18 @@
     def _check_probation(self, record: records.QuarantineRecord) -> None:
         """Raises QuarantinedError until a convicted request may be claimed."""
         age = self.view.age(record.fingerprint)
-        period = self.policy.rejection_period(record.reruns)
+        policy = self.policy_of(record.fingerprint)
+        period = policy.rejection_period(record.reruns)
         seconds = period.total_seconds() - age
         if seconds <= 0:
             return
         count = "two" if len(record.engines) <= 2 else str(len(record.engines))
+        cause = "this request"
+        if record.is_part:
+            part = record.fingerprint.removeprefix(records.PART_PREFIX)
+            cause = f"part {part} of the prompt"
         raise errors.QuarantinedError(
-            f"this request crashed {count} engines and is rejected for another "
+            f"{cause} crashed {count} engines and is rejected for another "
             f"{seconds:.0f} s unless its content is changed",
             retry_after=datetime.timedelta(seconds=seconds),
         )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -1,4 +1,8 @@
-"""Rows of the quarantine table: requests in flight at an engine crash."""
+"""Rows of the quarantine table: requests in flight at an engine crash.
+
+A record is about the content of a request, or about a part that the prompts of
+several requests share; its fingerprint says which.
+"""
 
 import dataclasses
 import enum
@@ -15,6 +19,12 @@
 RESERVATION_PREFIX = "engine/"
 KEY_DIGEST_BYTES = 16
 
+# Prefix of the fingerprints of parts of prompts; those of contents are digests.
+PART_PREFIX = "part/"
+
+# Contents that are named in the record of a part, the latest ones.
+MAX_NAMED_CONTENTS = 4
+
 
 class InvalidRecordError(errors.DogwoodhingeError):
     """The value of a row is no record of the quarantine."""
@@ -47,6 +57,9 @@
         engines: the engines that crashed while it was in flight, in order,
             since it last ran to completion.
         cleared_engines: those that crashed before.
+        contents: of a part: fingerprints of the different requests in flight
+            at these crashes.
+        proven: of a part: whether it ran to completion some time before.
         claim: ID of the attempt that retries the request, else empty.
         claim_seconds: time after which the claim counts as abandoned.
         reruns: claims so far, without those whose attempt did not run.
@@ -57,6 +70,8 @@
     customer: str
     engines: tuple[str, ...] = ()
     cleared_engines: tuple[str, ...] = ()
+    contents: tuple[str, ...] = ()
+    proven: bool = False
     claim: str = ""
     claim_seconds: float = 0.0
     reruns: int = 0
@@ -66,6 +81,11 @@
         """Engine of the latest crash."""
         return self.engines[-1] if self.engines else ""
 
+    @property
+    def is_part(self) -> bool:
+        """True if the record is about a part of prompts."""
+        return is_part(self.fingerprint)
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +103,11 @@
     claim_seconds: float
 
 
+def is_part(fingerprint: str) -> bool:
+    """Returns whether a fingerprint is that of a part of prompts."""
+    return fingerprint.startswith(PART_PREFIX)
+
+
 RECORDS = pydantic.TypeAdapter(QuarantineRecord)
 RESERVATIONS = pydantic.TypeAdapter(Reservation)
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -46,6 +46,12 @@
         probation: how long a convicted request is rejected before it may be
             claimed once more, by the number of claims before the last one.
         claim_lifetime: longest time after which a claim counts as abandoned.
+        min_contents: different requests at these crashes from which on a
+            suspect is restricted.
+        convicting_claims: counted claims from which on a crash under a claim
+            convicts.
+        spares_proven: whether the claims of a suspect that ran to completion
+            before count only if they end with a crash.
     """
 
     free_crashes: int
@@ -54,6 +60,16 @@
     max_reruns: int | None
     probation: tuple[datetime.timedelta, ...]
     claim_lifetime: datetime.timedelta
+    min_contents: int = 0
+    convicting_claims: int = 1
+    spares_proven: bool = False
+
+    def is_restricted(self, record: records.QuarantineRecord) -> bool:
+        """Returns whether a suspect may run only under a claim."""
+        return (
+            len(record.engines) > self.free_crashes
+            and len(record.contents) >= self.min_contents
+        )
 
     def rejection_period(self, reruns: int) -> datetime.timedelta:
         """Returns how long a convicted request is rejected.
@@ -91,16 +107,64 @@
     claim_lifetime=datetime.timedelta(seconds=30),
 )
 
+# Prompts of many requests share a part, and innocent parts are in flight at
+# most crashes. A restricted part that is innocent holds up a whole route, so
+# that parts need more evidence than requests: crashes under different requests,
+# and two claims. Three claims in all may reach engines.
+SHARED_PARTS = Policy(
+    free_crashes=2,
+    convicting_crashes=None,
+    counted_crashes=1,
+    max_reruns=3,
+    probation=(datetime.timedelta(minutes=1), datetime.timedelta(minutes=1)),
+    claim_lifetime=datetime.timedelta(seconds=30),
+    min_contents=2,
+    convicting_claims=2,
+    spares_proven=True,
+)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimBlame:
+    """What a crash under a claim says about one of the claimed suspects.
+
+    Attributes:
+        sole: whether the request had no other suspect that needed a claim.
+        counted: whether the claim counts.
+    """
+
+    sole: bool = True
+    counted: bool = True
+
+
+SOLE_BLAME = ClaimBlame()
+
 
 def suspect(
-    fingerprint: str, *, customer: str, engine_id: str
+    fingerprint: str,
+    *,
+    customer: str,
+    engine_id: str,
+    content: str = "",
+    proven: bool = False,
 ) -> records.QuarantineRecord:
-    """Returns the record of a request that was in flight at a crash."""
+    """Returns the record of a request or part in flight at a crash.
+
+    Args:
+        fingerprint: fingerprint of the request or part.
+        customer: customer or caller that sent the request.
+        engine_id: engine that crashed.
+        content: of a part: fingerprint of the request.
+        proven: of a part: whether it ran to completion before.
+    """
     return records.QuarantineRecord(
         fingerprint=fingerprint,
         verdict=records.Verdict.SUSPECT,
         customer=customer,
         engines=(engine_id,),
+        contents=(content,) if content else (),
+        proven=proven,
     )
 
 
@@ -111,8 +175,9 @@
     claim: str,
     policy: Policy,
     repeated: bool = False,
+    blame: ClaimBlame = SOLE_BLAME,
 ) -> records.QuarantineRecord:
-    """Returns the record of a request after an engine crash.
+    """Returns the record of a request or part after an engine crash.
 
     Args:
         old: record before the crash.
@@ -122,11 +187,15 @@
         policy: which crashes convict.
         repeated: whether an engine that is named in `old` has crashed again,
             rather than being reported again.
+        blame: what a crash under the claim says.
     """
     if old is not None and old.verdict is records.Verdict.CONVICTED:
         return old
     if claim and old is not None and old.claim == claim:
-        return convicted(_with_crash(old, crash, repeated=True))
+        crashed = _with_crash(old, crash, repeated=True)
+        if blame.sole and old.reruns >= policy.convicting_claims:
+            return convicted(crashed)
+        return _unclaimed(crashed, counted=blame.counted)
     updated = _with_crash(old, crash, repeated=repeated)
     limit = policy.convicting_crashes
     if (
@@ -146,9 +215,15 @@
 ) -> records.QuarantineRecord:
     if old is None:
         return crash
-    known = (*old.engines, *old.cleared_engines)
-    if crash.engine_id in known and not repeated:
+    if crash.engine_id in old.cleared_engines and not repeated:
         return old
+    if crash.engine_id in old.engines and not repeated:
+        # Other requests with the same part were in flight there.
+        return dataclasses.replace(
+            old,
+            contents=_contents(old, crash),
+            proven=old.proven or crash.proven,
+        )
     verdict = old.verdict
     if verdict is records.Verdict.CLEARED:
         verdict = records.Verdict.SUSPECT
@@ -156,9 +231,19 @@
         old,
         verdict=verdict,
         engines=_latest(*old.engines, crash.engine_id),
+        contents=_contents(old, crash),
+        proven=old.proven or crash.proven,
     )
 
 
+def _contents(
+    one: records.QuarantineRecord, other: records.QuarantineRecord
+) -> tuple[str, ...]:
+    """Returns the contents of two records, the earliest ones."""
+    found = dict.fromkeys((*one.contents, *other.contents))
+    return tuple(found)[: records.MAX_NAMED_CONTENTS]
+
+
 def _latest(*engines: str) -> tuple[str, ...]:
     return engines[-MAX_NAMED_ENGINES:]
 
@@ -184,6 +269,8 @@
         old,
         engines=engines,
         cleared_engines=cleared_engines,
+        contents=_contents(old, other),
+        proven=old.proven or other.proven,
         reruns=max(old.reruns, other.reruns),
     )
     if not engines and not convicting:
@@ -209,7 +296,11 @@
 
 
 def claimed(
-    record: records.QuarantineRecord, claim: str, *, seconds: float
+    record: records.QuarantineRecord,
+    claim: str,
+    *,
+    seconds: float,
+    proven: bool = False,
 ) -> records.QuarantineRecord:
     """Returns the record of a suspect that is retried.
 
@@ -217,11 +308,13 @@
         record: the record.
         claim: ID of the attempt.
         seconds: time after which the claim counts as abandoned.
+        proven: whether a part is known to have run to completion before.
     """
     if record.claim == claim:
         return record
     return dataclasses.replace(
         record,
+        proven=record.proven or proven,
         verdict=records.Verdict.RERUNNING,
         claim=claim,
         claim_seconds=seconds,
@@ -246,15 +339,25 @@
     """
     if record.claim != claim:
         return record
-    counts = end is ClaimEnd.UNKNOWN or (
-        end is ClaimEnd.SURVIVED
-        and len(record.engines) >= policy.counted_crashes
+    spared = policy.spares_proven and record.proven
+    counts = not spared and (
+        end is ClaimEnd.UNKNOWN
+        or (
+            end is ClaimEnd.SURVIVED
+            and len(record.engines) >= policy.counted_crashes
+        )
     )
+    return _unclaimed(record, counted=counts)
+
+
+def _unclaimed(
+    record: records.QuarantineRecord, *, counted: bool
+) -> records.QuarantineRecord:
     return dataclasses.replace(
         record,
         verdict=records.Verdict.SUSPECT,
         claim="",
-        reruns=record.reruns if counts else record.reruns - 1,
+        reruns=record.reruns if counted else record.reruns - 1,
     )
 
 
@@ -271,6 +374,8 @@
         verdict=records.Verdict.CLEARED,
         engines=(),
         cleared_engines=_union(record.cleared_engines, record.engines),
+        contents=(),
+        proven=record.is_part,
         claim="",
         reruns=0,
     )
