An answer without framing that ends with its engine is incomplete

What callers saw: an engine that crashed after the head, or after an event, of an answer with neither a length nor chunks left a complete 200 behind.

Cause: the end of the connection is the end of such an answer, and also all that an engine that crashes leaves. Nothing asked which of the two it was.

Why this works: the end of such an answer is held back until a look at the engine shows whether it still runs (at once if another of its connections is open, 0.1 s at most). If it has ended, the answer is incomplete: it is retried or resumed where that is allowed, else broken off, and the crash is recorded. If nothing shows that it runs, the answer is passed on as before, and clears no suspect.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -378,6 +378,8 @@
             try:
                 check_response(response.head)
                 fetched = await _read_beginning(run, response)
+                if response.complete:
+                    await self.suspects.confirm_end(run, response)
             except BaseException as error:
                 if isinstance(error, errors.OutcomeUnknownError):
                     error.ended_by_engine = response.ended_by_engine
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -7,10 +7,11 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable, Callable
 import dataclasses
 import datetime
 import functools
-from typing import final
+from typing import TypeAlias, final
 
 from _dogwoodhinge import event_stream
 from _dogwoodhinge.fleet import engine_selection
@@ -28,6 +29,9 @@
 from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import server
 
+# Checks that a response that has ended did not end with its engine.
+ConfirmEnd: TypeAlias = Callable[[sender_lib.OpenResponse], Awaitable[None]]
+
 # A resumable stream that pauses for this long is continued on another engine:
 # callers disconnect after two seconds, and the new engine needs some hundred
 # milliseconds.
@@ -295,7 +299,7 @@
             call.forget_try(engine_id)
             raise
         try:
-            response = await self._exchange(call, relay, selection)
+            response = await self._exchange(call, relay, selection, run)
         except BaseException as error:
             await self.suspects.record_failure(call, run, error)
             raise
@@ -312,6 +316,7 @@
         call: call_lib.Call,
         relay: "Relay",
         selection: engine_finder_lib.EngineSelection,
+        run: suspects_lib.Run,
     ) -> sender_lib.OpenResponse:
         """Sends the request to an engine and forwards its whole response."""
         engine = selection.engine
@@ -359,6 +364,9 @@
                 await relay.relay_response(
                     response,
                     prepare_switch=prepare_switch,
+                    confirm_end=functools.partial(
+                        self.suspects.confirm_end, run
+                    ),
                 )
             except errors.OutcomeUnknownError as error:
                 error.ended_by_engine = response.ended_by_engine
@@ -539,11 +547,14 @@
         response: sender_lib.OpenResponse,
         *,
         prepare_switch: sender_lib.PrepareSwitch | None,
+        confirm_end: ConfirmEnd,
     ) -> None:
         """Forwards one engine's response to the caller.
 
         Args:
             response: the engine's response.
+            confirm_end: checks that the response did not end with its engine;
+                called after its last byte.
             prepare_switch: called when the response pauses; returns whether
                 another engine is ready. None to stay at this engine.
 
@@ -553,15 +564,17 @@
         head = response.head
         plain.check_response(head)
         if head.status != 200:
-            await self._relay_failure(response)
+            await self._relay_failure(response, confirm_end)
             return
         if self.call.route.resumable:
-            await self._relay_events(response, prepare_switch)
+            await self._relay_events(response, prepare_switch, confirm_end)
         else:
-            await self._relay_bytes(response)
+            await self._relay_bytes(response, confirm_end)
         self.reply.finish()
 
-    async def _relay_failure(self, response: sender_lib.OpenResponse) -> None:
+    async def _relay_failure(
+        self, response: sender_lib.OpenResponse, confirm_end: ConfirmEnd
+    ) -> None:
         if self.reply.begun:
             raise errors.OutcomeUnknownError(
                 f"status {response.head.status} instead of the resumed stream"
@@ -578,6 +591,7 @@
             for part in buffered:
                 await self.reply.write(part)
             buffered.clear()
+        await confirm_end(response)
         if size > plain.MAX_BUFFERED_RESPONSE_BYTES:
             self.reply.finish()
             return
@@ -607,6 +621,7 @@
         self,
         response: sender_lib.OpenResponse,
         prepare_switch: sender_lib.PrepareSwitch | None,
+        confirm_end: ConfirmEnd,
     ) -> None:
         splitter = event_stream.EventSplitter()
         tracker = event_stream.EventTracker()
@@ -631,12 +646,15 @@
         finally:
             self.unfinished_events.resize(buffered, 0)
         self._check_stream_end(response, tracker)
+        await confirm_end(response)
         self._begin(response.head)
         if splitter.buffer:
             # Comments and empty lines may follow the last event.
             await self.reply.write(bytes(splitter.buffer))
 
-    async def _relay_bytes(self, response: sender_lib.OpenResponse) -> None:
+    async def _relay_bytes(
+        self, response: sender_lib.OpenResponse, confirm_end: ConfirmEnd
+    ) -> None:
         tracker = event_stream.EventTracker()
         async for chunk in response.chunks():
             self._begin(response.head)
@@ -644,6 +662,7 @@
             self.call.record_event()
             await self.reply.write(chunk)
         self._check_stream_end(response, tracker)
+        await confirm_end(response)
         self._begin(response.head)
 
     def _check_stream_end(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -56,6 +56,10 @@
 # not the cause.
 BEGIN_WINDOW = datetime.timedelta(seconds=1)
 
+# How long an answer that ends with its connection is held back until it is
+# known whether the engine has ended.
+MAX_END_WAIT = datetime.timedelta(milliseconds=100)
+
 
 @final
 @dataclasses.dataclass(slots=True)
@@ -66,11 +70,14 @@
         suspects: the fingerprints that were claimed; empty if it runs without
             a claim.
         claim: id of the claim.
+        end_unconfirmed: whether its answer ended with the connection, and
+            nothing shows that the engine still runs.
     """
 
     engine: engines_lib.Engine
     suspects: tuple[str, ...] = ()
     claim: str = ""
+    end_unconfirmed: bool = False
 
     def blame(
         self, suspect: str, sound_parts: prompt_parts.SoundParts
@@ -96,6 +103,8 @@
         looks: the looks at engines whose results are not reported yet.
         rejected: number of rejected requests, by reason.
         sound_parts: the parts of prompts that succeeded here lately.
+        unconfirmed_ends: number of answers that ended with their connection,
+            by what a look at the engine showed.
     """
 
     def __init__(
@@ -112,6 +121,9 @@
         self.rejected: collections.Counter[str] = collections.Counter()
         self.sound_parts = prompt_parts.SoundParts()
         self.sole_claims = prompt_parts.SoleClaims()
+        self.unconfirmed_ends: collections.Counter[
+            engine_ends_lib.EngineState
+        ] = collections.Counter()
 
     def check(self, call: call_lib.Call) -> None:
         """Rejects a request that is convicted, or a part of whose prompt is.
@@ -213,7 +225,7 @@
             prompt_answered: whether the engine wrote an answer on the prompt,
                 rather than the end of one that another engine wrote.
         """
-        if succeeded:
+        if succeeded and not run.end_unconfirmed:
             survivors = call.fingerprints
             if prompt_answered:
                 survivors += call.part_fingerprints
@@ -225,6 +237,33 @@
                     )
         self._end_claim(run, rules.ClaimEnd.SURVIVED)
 
+    async def confirm_end(
+        self, run: Run, response: sender_lib.OpenResponse
+    ) -> None:
+        """Checks that an answer without framing did not end with its engine.
+
+        The end of its connection completes such an answer, and is all that an
+        engine that crashes leaves of it.
+
+        Raises:
+            IncompleteResponseError: the engine has ended.
+        """
+        if response.framing is not sender_lib.BodyFraming.CLOSE:
+            return
+        look = self.engine_ends.look(run.engine)
+        await asyncio.wait({look}, timeout=MAX_END_WAIT.total_seconds())
+        state = engine_ends_lib.EngineState.UNKNOWN
+        if look.done():
+            state = look.result()
+        self.unconfirmed_ends[state] += 1
+        if state is engine_ends_lib.EngineState.ENDED:
+            response.complete = False
+            response.end = sender_lib.ResponseEnd.BROKE_OFF
+            raise sender_lib.IncompleteResponseError(
+                "the engine ended with its answer"
+            )
+        run.end_unconfirmed = state is not engine_ends_lib.EngineState.RUNS
+
     async def record_failure(
         self, call: call_lib.Call, run: Run, error: BaseException
     ) -> None:
