--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -105,7 +105,7 @@
         looks: the looks at engines whose results are not reported yet.
         rejected: number of rejected requests, by reason.
         sound_parts: the parts of prompts that succeeded here lately.
-        unconfirmed_ends: number of answers that ended with their connection,
+        unframed_ends: number of answers that ended with their connection,
             by what a look at the engine showed.
     """
 
@@ -123,9 +123,9 @@
         self.rejected: collections.Counter[str] = collections.Counter()
         self.sound_parts = prompt_parts.SoundParts()
         self.sole_claims = prompt_parts.SoleClaims()
-        self.unconfirmed_ends: collections.Counter[
-            engine_ends_lib.EngineState
-        ] = collections.Counter()
+        self.unframed_ends: collections.Counter[engine_ends_lib.EngineState] = (
+            collections.Counter()
+        )
 
     def check(self, call: call_lib.Call) -> None:
         """Rejects a request that is convicted, or a part of whose prompt is.
@@ -324,7 +324,7 @@
         state = engine_ends_lib.EngineState.UNKNOWN
         if look.done():
             state = look.result()
-        self.unconfirmed_ends[state] += 1
+        self.unframed_ends[state] += 1
         if state is engine_ends_lib.EngineState.ENDED:
             response.complete = False
             response.end = sender_lib.ResponseEnd.BROKE_OFF
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/record_view.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/record_view.py
@@ -23,7 +23,8 @@
         records: records by fingerprint, also expired ones.
         known_since: monotonic second at which a record last changed here.
         evicted: records dropped for lack of space.
-        counts: number of changes of records, by the new verdict.
+        counts: number of changes of records, by whether they are about parts
+            of prompts and the new verdict.
     """
 
     def __init__(self, clock: ports.Clock) -> None:
@@ -31,7 +32,7 @@
         self.records: dict[str, records.QuarantineRecord] = {}
         self.known_since: dict[str, float] = {}
         self.evicted: set[str] = set()
-        self.counts: collections.Counter[records.Verdict] = (
+        self.counts: collections.Counter[tuple[bool, records.Verdict]] = (
             collections.Counter()
         )
 
@@ -55,7 +56,7 @@
         if old != record:
             self.known_since[record.fingerprint] = self.clock.monotonic()
             if old is None or old.verdict is not record.verdict:
-                self.counts[record.verdict] += 1
+                self.counts[record.is_part, record.verdict] += 1
         if len(self.records) > MAX_RECORDS:
             self._evict()
 
