An answer without framing clears a suspect only if its engine survives it

Its answer ended after one event with its connection; the look at the engine, 3 ms later, found another connection still open, and the engine ended just after it.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -55,10 +55,15 @@
 # not the cause.
 BEGIN_WINDOW = datetime.timedelta(seconds=1)
 
-# How long an answer that ends with its connection is held back until it is
-# known whether the engine has ended.
+# An answer that ends with its connection is held back until it is known whether
+# the engine has ended: at first while an engine that ends loses its other
+# connections, and then for the look at it.
+CONNECTIONS_END_WAIT = datetime.timedelta(milliseconds=17)
 MAX_END_WAIT = datetime.timedelta(milliseconds=100)
 
+# Such an answer counts as a success if the engine still runs after this time.
+SUCCESS_CONFIRMATION_DELAY = datetime.timedelta(milliseconds=250)
+
 
 @final
 @dataclasses.dataclass(slots=True)
@@ -70,15 +75,14 @@
             a claim.
         claim: id of the claim.
         others: further suspects of the request, which need no claim.
-        end_unconfirmed: whether its answer ended with the connection, and
-            nothing shows that the engine still runs.
+        unframed: whether its answer ended with the connection.
     """
 
     engine: engines_lib.Engine
     suspects: tuple[str, ...] = ()
     claim: str = ""
     others: tuple[str, ...] = ()
-    end_unconfirmed: bool = False
+    unframed: bool = False
 
     def blame(
         self, suspect: str, sound_parts: prompt_parts.SoundParts
@@ -103,6 +107,7 @@
 
     Attributes:
         looks: the looks at engines whose results are not reported yet.
+        recordings: responses without framing that are not recorded yet.
         rejected: number of rejected requests, by reason.
         sound_parts: the parts of prompts that succeeded here lately.
         unframed_ends: number of answers that ended with their connection,
@@ -120,6 +125,7 @@
         self.engine_ends = engine_ends_lib.EngineEnds(sender)
         self.report = report
         self.looks: set[asyncio.Task[bool]] = set()
+        self.recordings: set[asyncio.Task[None]] = set()
         self.rejected: collections.Counter[str] = collections.Counter()
         self.sound_parts = prompt_parts.SoundParts()
         self.sole_claims = prompt_parts.SoleClaims()
@@ -294,16 +300,53 @@
             prompt_answered: whether the engine wrote an answer on the prompt,
                 rather than the end of one that another engine wrote.
         """
-        if succeeded and not run.end_unconfirmed:
-            survivors = call.fingerprints
-            if prompt_answered:
-                survivors += call.part_fingerprints
-                self.sound_parts.add(call.part_fingerprints)
-            if self.quarantine.cached_records:
-                for fingerprint in survivors:
-                    self.quarantine.record_success(
-                        fingerprint, request_id=call.request.request_id
-                    )
+        if run.unframed:
+            recording = asyncio.ensure_future(
+                self._record_unframed_response(
+                    call,
+                    run,
+                    succeeded=succeeded,
+                    prompt_answered=prompt_answered,
+                )
+            )
+            self.recordings.add(recording)
+            recording.add_done_callback(self.recordings.discard)
+            return
+        if succeeded:
+            self._record_success(call, prompt_answered=prompt_answered)
+        self._end_claim(run, rules.ClaimEnd.SURVIVED)
+
+    def _record_success(
+        self, call: call_lib.Call, *, prompt_answered: bool
+    ) -> None:
+        survivors = call.fingerprints
+        if prompt_answered:
+            survivors += call.part_fingerprints
+            self.sound_parts.add(call.part_fingerprints)
+        if self.quarantine.cached_records:
+            for fingerprint in survivors:
+                self.quarantine.record_success(
+                    fingerprint, request_id=call.request.request_id
+                )
+
+    async def _record_unframed_response(
+        self,
+        call: call_lib.Call,
+        run: Run,
+        *,
+        succeeded: bool,
+        prompt_answered: bool,
+    ) -> None:
+        """Records a response without framing once its engine has survived it.
+
+        What an engine that crashes leaves of such a response looks complete.
+        """
+        await asyncio.sleep(SUCCESS_CONFIRMATION_DELAY.total_seconds())
+        state = await asyncio.shield(self.engine_ends.look(run.engine))
+        if state is engine_ends_lib.EngineState.ENDED:
+            self._record_crash(call, run)
+        elif succeeded and state is engine_ends_lib.EngineState.RUNS:
+            self._record_success(call, prompt_answered=prompt_answered)
         self._end_claim(run, rules.ClaimEnd.SURVIVED)
 
     async def confirm_end(
@@ -319,6 +362,8 @@
         """
         if response.framing is not sender_lib.BodyFraming.CLOSE:
             return
+        run.unframed = True
+        await asyncio.sleep(CONNECTIONS_END_WAIT.total_seconds())
         look = self.engine_ends.look(run.engine)
         await asyncio.wait({look}, timeout=MAX_END_WAIT.total_seconds())
         state = engine_ends_lib.EngineState.UNKNOWN
@@ -331,7 +376,6 @@
             raise sender_lib.IncompleteResponseError(
                 "the engine ended with its answer"
             )
-        run.end_unconfirmed = state is not engine_ends_lib.EngineState.RUNS
 
     async def record_failure(
         self, call: call_lib.Call, run: Run, error: BaseException
@@ -377,20 +421,24 @@
             },
         )
         if ended:
-            for fingerprint in call.fingerprints:
-                self.quarantine.record_crash(
-                    fingerprint,
-                    customer=call.request.raw.caller_address,
-                    engine_id=_name(run.engine),
-                    # Others than the claimed ones are not on probation.
-                    claim=run.claim if fingerprint in run.suspects else "",
-                    request_id=call.request.request_id,
-                    blame=run.blame(fingerprint, self.sound_parts),
-                )
-            self._blame_parts(call, run)
+            self._record_crash(call, run)
         self._end_claim(run, rules.ClaimEnd.UNKNOWN)
         return ended
 
+    def _record_crash(self, call: call_lib.Call, run: Run) -> None:
+        """Records that an engine ended under a request."""
+        for fingerprint in call.fingerprints:
+            self.quarantine.record_crash(
+                fingerprint,
+                customer=call.request.raw.caller_address,
+                engine_id=_name(run.engine),
+                # Others than the claimed ones are not on probation.
+                claim=run.claim if fingerprint in run.suspects else "",
+                request_id=call.request.request_id,
+                blame=run.blame(fingerprint, self.sound_parts),
+            )
+        self._blame_parts(call, run)
+
     def _blame_parts(self, call: call_lib.Call, run: Run) -> None:
         """Reports the parts of a prompt that may have crashed an engine."""
         claimed = [part for part in run.suspects if records.is_part(part)]
