An answer without framing of an engine that has left is incomplete too

Its engine had crashed behind a silent link 2.8 s before; when the end of the connection arrived, the list no longer had the engine, and the look took it for one that leaves as planned and runs.

The look now always tries the engine, and says that it left if it has ended and was leaving or gone from the list. Such an end blames no request, and completes no answer without framing.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_ends.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_ends.py
@@ -38,6 +38,7 @@
     """What a look at an engine shows."""
 
     ENDED = "ended"
+    LEFT = "left"  # ended after it was leaving, or gone from the list
     RUNS = "runs"
     UNKNOWN = "unknown"  # no response
 
@@ -73,7 +74,7 @@
         ended = (
             not look.cancelled()
             and look.exception() is None
-            and look.result() is EngineState.ENDED
+            and look.result() in (EngineState.ENDED, EngineState.LEFT)
         )
         # The other requests that were in flight need no look of their own. An
         # engine that was only down for a while is looked at again.
@@ -83,8 +84,6 @@
         )
 
     async def _look(self, engine: engines_lib.Engine) -> EngineState:
-        if not engine.accepts_requests:
-            return EngineState.RUNS  # it leaves as planned
         pool = self.sender.pool(engine)
         for _ in range(MAX_LOOKS):
             await asyncio.sleep(CONNECTIONS_END_WITHIN.total_seconds())
@@ -98,7 +97,7 @@
                 return (
                     EngineState.ENDED
                     if engine.accepts_requests
-                    else EngineState.RUNS
+                    else EngineState.LEFT
                 )
             if await _stays_open(opened):
                 return EngineState.RUNS
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -370,7 +370,10 @@
         if look.done():
             state = look.result()
         self.unframed_ends[state] += 1
-        if state is engine_ends_lib.EngineState.ENDED:
+        if state in (
+            engine_ends_lib.EngineState.ENDED,
+            engine_ends_lib.EngineState.LEFT,
+        ):
             response.complete = False
             response.end = sender_lib.ResponseEnd.BROKE_OFF
             raise sender_lib.IncompleteResponseError(
