Claims of parts lapse after 5 s; the answer's begin belongs to the send

Found while reading: a claim of a lost node would hold up all prompts with a popular part for the timeout of its route (13 s for a batch), and a resumed stream reset the begin of its answer before the look at its first engine was over, so that prompts answered for a while could become suspects.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -308,7 +308,7 @@
             run,
             succeeded=response.head.status < 500,
             prompt_answered=response.head.status == 200
-            and call.run_began_at is not None,
+            and run.began_at is not None,
         )
 
     async def _exchange(
@@ -394,6 +394,7 @@
         finally:
             engine.running -= 1
             unread_prompt.end()
+            run.began_at = call.run_began_at
 
     def _may_switch_engine(
         self, call: call_lib.Call, engine: engines_lib.Engine
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -76,6 +76,8 @@
         claim: id of the claim.
         others: further suspects of the request, which need no claim.
         unframed: whether its answer ended with the connection.
+        began_at: loop time of the first event of its answer; None without one,
+            or for an answer that is not streamed.
     """
 
     engine: engines_lib.Engine
@@ -83,6 +85,7 @@
     claim: str = ""
     others: tuple[str, ...] = ()
     unframed: bool = False
+    began_at: float | None = None
 
     def blame(
         self, suspect: str, sound_parts: prompt_parts.SoundParts
@@ -454,8 +457,8 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         if (
-            call.run_began_at is not None
-            and now - call.run_began_at > BEGIN_WINDOW.total_seconds()
+            run.began_at is not None
+            and now - run.began_at > BEGIN_WINDOW.total_seconds()
         ):
             return
         recently = now - RECENT_SUCCESS.total_seconds()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -125,7 +125,8 @@
     counted_crashes=1,
     max_reruns=3,
     probation=(datetime.timedelta(minutes=1), datetime.timedelta(minutes=1)),
-    claim_lifetime=datetime.timedelta(seconds=30),
+    # A claim of a node that was lost holds up all prompts with the part.
+    claim_lifetime=datetime.timedelta(seconds=5),
     min_contents=2,
     convicting_claims=2,
     spares_proven=True,
