--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_ends.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_ends.py
@@ -15,6 +15,7 @@
 from _dogwoodhinge.gateway import sender as sender_lib
 from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import errors as http_errors
+from _dogwoodhinge.http1 import pool as pool_lib
 
 # The connections of an engine that ends are lost within this time of each
 # other.
@@ -84,7 +85,20 @@
         )
 
     async def _look(self, engine: engines_lib.Engine) -> EngineState:
-        pool = self.sender.pool(engine)
+        pool = self.sender.find_pool(engine)
+        if pool is not None:
+            return await self._look_through(pool, engine)
+        pool = pool_lib.ConnectionPool(
+            host=engine.entry.host, port=engine.entry.port, limit=1
+        )
+        try:
+            return await self._look_through(pool, engine)
+        finally:
+            pool.close()
+
+    async def _look_through(
+        self, pool: pool_lib.ConnectionPool, engine: engines_lib.Engine
+    ) -> EngineState:
         for _ in range(MAX_LOOKS):
             await asyncio.sleep(CONNECTIONS_END_WITHIN.total_seconds())
             if pool.has_open_connection:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -494,10 +494,12 @@
         backlog = engine_selection.prefill_backlog_seconds(engine.work)
         return silence > SILENCE_TIMEOUT.total_seconds() + backlog
 
-    def pool(self, engine: engines_lib.Engine) -> pool_lib.ConnectionPool:
-        """Returns the connections to an engine."""
-        now = asyncio.get_running_loop().time()
-        return self._engine_connections(engine, now).pool
+    def find_pool(
+        self, engine: engines_lib.Engine
+    ) -> pool_lib.ConnectionPool | None:
+        """Returns the connections to an engine; None if it is gone."""
+        found = self.connections_by_engine.get(engine.entry.incarnation)
+        return None if found is None else found.pool
 
     def remove_engine(self, engine: engines_lib.Engine) -> None:
         """Closes the idle connections to an engine that is gone."""
