--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -41,7 +41,6 @@
 # Most requests end within this time, and with them their claims.
 RERUN_RETRY_DELAY = datetime.timedelta(seconds=1)
 
-
 # Time for the look at an engine after the last moment of a run, and for the
 # write that ends the claim.
 CLAIM_MARGIN = datetime.timedelta(seconds=1)
@@ -221,8 +220,8 @@
     ) -> tuple[str, ...]:
         """Returns what else of a request may be the cause of a crash.
 
-        A content that needs a claim is tried apart from the parts of its
-        prompt by its next crash, so that these matter beside parts only.
+        Beside a content alone, parts don't matter: all requests with this
+        content have them.
         """
         if not any(map(records.is_part, suspects)):
             return ()
