A part whose claims showed nothing is tried again soon

The first part of all prompts of a route was in flight at crashes before it had ever succeeded; its three claims ended without a crash (the engines were loading, and rejected or lost them), and so it was convicted for an hour.

Claims that reach an engine have to count, since a crashing part may reach only few. But without a crash under any of them nothing speaks against the part: it is rejected for 10 s and claimed once more then. A crash under that claim convicts as before. A conviction by used-up claims has a line quarantine_changed now; it had none.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -210,6 +210,7 @@
             ) from error
         record = self.find(fingerprint)
         if record is not None and record.verdict is records.Verdict.CONVICTED:
+            self.report(record, request_id=attempt_id)  # its claims are used up
             self._check_probation(record)
         return claimed
 
@@ -805,11 +806,15 @@
                 "only retry is still in progress",
                 retry_after=CLAIM_RETRY_AFTER,
             )
-        limit = self.policy_of(old.fingerprint).max_reruns
+        policy = self.policy_of(old.fingerprint)
+        tried_again = (
+            old.verdict is records.Verdict.CONVICTED and policy.is_unshown(old)
+        )
         if (
-            limit is not None
+            policy.max_reruns is not None
             and old.claim != attempt_id
-            and old.reruns >= limit
+            and old.reruns >= policy.max_reruns
+            and not tried_again
         ):
             return rules.convicted(old)
         return rules.claimed(
@@ -846,7 +851,7 @@
         """Raises QuarantinedError until a convicted request may be claimed."""
         age = self.view.age(record.fingerprint)
         policy = self.policy_of(record.fingerprint)
-        period = policy.rejection_period(record.reruns)
+        period = policy.rejection_period(record)
         seconds = period.total_seconds() - age
         if seconds <= 0:
             return
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -63,6 +63,7 @@
         claim: ID of the attempt that retries the request, else empty.
         claim_seconds: time after which the claim counts as abandoned.
         reruns: claims so far, without those whose attempt did not run.
+        claim_crashes: of a part: crashes under these claims.
     """
 
     fingerprint: str
@@ -75,6 +76,7 @@
     claim: str = ""
     claim_seconds: float = 0.0
     reruns: int = 0
+    claim_crashes: int = 0
 
     @property
     def engine_id(self) -> str:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -50,6 +50,8 @@
             suspect is restricted.
         convicting_claims: counted claims from which on a crash under a claim
             convicts.
+        unshown_probation: how long a suspect is rejected whose claims are used
+            up although none ended with a crash; None to treat it like others.
         spares_proven: whether a suspect that ran to completion before is only
             convicted by its last claim, and claims of it count only if they
             end with a crash.
@@ -64,6 +66,7 @@
     min_contents: int = 0
     convicting_claims: int = 1
     spares_proven: bool = False
+    unshown_probation: datetime.timedelta | None = None
 
     def is_restricted(self, record: records.QuarantineRecord) -> bool:
         """Returns whether a suspect may run only under a claim."""
@@ -79,14 +82,18 @@
             limit = self.max_reruns
         return record.reruns >= limit
 
-    def rejection_period(self, reruns: int) -> datetime.timedelta:
-        """Returns how long a convicted request is rejected.
-
-        Args:
-            reruns: claims of the request without a good end.
-        """
-        if 0 < reruns <= len(self.probation):
-            return self.probation[reruns - 1]
+    def is_unshown(self, record: records.QuarantineRecord) -> bool:
+        """Returns whether no crash under a claim speaks against a suspect."""
+        return self.unshown_probation is not None and not record.claim_crashes
+
+    def rejection_period(
+        self, record: records.QuarantineRecord
+    ) -> datetime.timedelta:
+        """Returns how long a convicted suspect is rejected."""
+        if self.unshown_probation is not None and self.is_unshown(record):
+            return self.unshown_probation
+        if 0 < record.reruns <= len(self.probation):
+            return self.probation[record.reruns - 1]
         return CONVICTION_LIFETIME
 
 
@@ -130,6 +137,9 @@
     min_contents=2,
     convicting_claims=2,
     spares_proven=True,
+    # A part that all prompts of a route have may be rejected by engines a few
+    # times while they load models and adapters.
+    unshown_probation=datetime.timedelta(seconds=10),
 )
 
 
@@ -202,6 +212,10 @@
         return old
     if claim and old is not None and old.claim == claim:
         crashed = _with_crash(old, crash, repeated=True)
+        if policy.unshown_probation is not None and blame.counted:
+            crashed = dataclasses.replace(
+                crashed, claim_crashes=old.claim_crashes + 1
+            )
         if blame.sole and policy.convicts(old):
             return convicted(crashed)
         return _unclaimed(crashed, counted=blame.counted)
@@ -281,6 +295,7 @@
         contents=_contents(old, other),
         proven=old.proven or other.proven,
         reruns=max(old.reruns, other.reruns),
+        claim_crashes=max(old.claim_crashes, other.claim_crashes),
     )
     if not engines and not convicting:
         return cleared(united)
@@ -387,6 +402,7 @@
         proven=record.is_part,
         claim="",
         reruns=0,
+        claim_crashes=0,
     )
 
 
--- a/packages/dogwoodhinge/testing/quarantine/test_quarantine.py
+++ b/packages/dogwoodhinge/testing/quarantine/test_quarantine.py
@@ -339,3 +339,27 @@
     node.apply_snapshot([("f1", b"odd"), ("engine/e1", b"odd")])
     assert events == ["quarantine_row_unreadable"] * 2
     assert node.cached_records == {}
+
+
+async def test_part_whose_claims_showed_nothing_is_soon_tried_again(
+    node: quarantine_lib.Quarantine, clock: dispatch_fakes.EagerClock
+) -> None:
+    """Engines that were loading rejected a sound part for an hour."""
+    for number in range(4):
+        node.record_crash(
+            "part/p", customer="c", engine_id=f"e{number}", content=f"x{number}"
+        )
+    for number in range(3):
+        assert await node.claim("part/p", f"a{number}", engine_id="e9")
+        node.record_claim_end(
+            "part/p", f"a{number}", engine_id="e9", end=SURVIVED
+        )
+        await node.flush()
+    with pytest.raises(errors.QuarantinedError) as rejection:
+        await node.claim("part/p", "a3", engine_id="e9")
+    assert rejection.value.retry_after.total_seconds() <= 10
+    clock.seconds += 11
+    assert await node.claim("part/p", "a4", engine_id="e9")
+    node.record_success("part/p")
+    await node.flush()
+    assert node.find("part/p") is None
--- a/packages/dogwoodhinge/testing/quarantine/test_rules.py
+++ b/packages/dogwoodhinge/testing/quarantine/test_rules.py
@@ -164,7 +164,9 @@
     ("reruns", "seconds"), [(0, 3600), (1, 60), (2, 600), (3, 3600), (9, 3600)]
 )
 def test_rejection_grows_with_each_claim(reruns: int, seconds: int) -> None:
-    period = rules.SHARED_ENGINES.rejection_period(reruns)
+    period = rules.SHARED_ENGINES.rejection_period(
+        record(CONVICTED, reruns=reruns)
+    )
     assert period.total_seconds() == seconds
 
 
@@ -313,3 +315,19 @@
     )
     found = after_part_crash(claimed, "e4", "x", claim="a")
     assert found.verdict is verdict
+
+
+@pytest.mark.parametrize(
+    ("claim_crashes", "reruns", "seconds"),
+    [
+        pytest.param(0, 3, 10, id="no crash under a claim"),
+        pytest.param(1, 2, 60, id="crash under the second claim"),
+        pytest.param(2, 3, 3600, id="crash under the last claim"),
+    ],
+)
+def test_part_whose_claims_showed_nothing_is_rejected_for_seconds(
+    claim_crashes: int, reruns: int, seconds: float
+) -> None:
+    record = part(CONVICTED, reruns=reruns, claim_crashes=claim_crashes)
+    period = rules.SHARED_PARTS.rejection_period(record)
+    assert period.total_seconds() == seconds
