--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/records.py
@@ -22,7 +22,7 @@
 # Prefix of the fingerprints of parts of prompts; those of contents are digests.
 PART_PREFIX = "part/"
 
-# Contents that are named in the record of a part, the latest ones.
+# Contents that are named in the record of a part, the first ones.
 MAX_NAMED_CONTENTS = 4
 
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -149,7 +149,7 @@
     """What a crash under a claim says about one of the claimed suspects.
 
     Attributes:
-        sole: whether the request had no other suspect that needed a claim.
+        sole: whether the request had no other suspect.
         counted: whether the claim counts.
     """
 
