Organisations, ranks and quotas as types; placement requests carry them

Callers saw: nothing yet. The queue, the admission of callers and the quotas are built side by side and need one shape: an organisation with its keys, priority and quota, the rank of a request (the organisation's priority goes before its route's), and both on the way to the leader.

Change: types in fleet/models.py, Call.rank, PlaceRequest.rank and .organisation. No decision reads them yet, so nothing is served otherwise. Tests of the fleet folder: passed.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
@@ -171,6 +171,8 @@
             target.
         max_wait_seconds: maximum time to wait for a slot.
         node: name of the entry node; empty if no request asks.
+        rank: priority of the caller's request, 0 is the highest.
+        organisation: name of the caller's organisation; empty if none.
     """
 
     key: models.AdapterKey
@@ -181,6 +183,8 @@
     prompt_tokens: int = 0
     seconds_to_target: float = 0.0
     max_wait_seconds: float = 0.0
+    rank: int = 0
+    organisation: str = ""
 
 
 @final
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -118,6 +118,8 @@
             seconds_to_target=request.target_in_ms / 1000,
             max_wait_seconds=request.patience_ms / 1000,
             node=request.node,
+            rank=request.rank,
+            organisation=request.organisation,
         )
         try:
             assignment = await self.leader.place(placement_request)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -124,6 +124,8 @@
                 0, round(placement_request.max_wait_seconds * 1000)
             ),
             node=self.node,
+            rank=placement_request.rank,
+            organisation=placement_request.organisation,
         )
         if self._is_local():
             reply = await self.local.place(request)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
@@ -41,6 +41,7 @@
         resumable: whether a stream may be resumed on another engine.
         longest_pause: longest pause between events of a stream that is still
             on time; None if the route does not say.
+        public: whether requests need no key.
     """
 
     name: str
@@ -54,6 +55,7 @@
     max_engines: int
     resumable: bool = False
     longest_pause: datetime.timedelta | None = None
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -146,15 +148,65 @@
     idle_timeout: datetime.timedelta
 
 
+class QuotaUnit(enum.Enum):
+    """What a quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Quota:
+    """Limit on what an organisation may ask of all nodes together.
+
+    Attributes:
+        unit: what `per_second` and `burst` count.
+        per_second: sustained rate.
+        burst: amount that may be asked at once after a time without use.
+        unsized_tokens: what a request counts as that does not state its size;
+            used for `QuotaUnit.TOKENS` only.
+    """
+
+    unit: QuotaUnit
+    per_second: float
+    burst: float
+    unsized_tokens: float = 0.0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Organisation:
+    """A customer, with the keys by which its requests are recognized.
+
+    Attributes:
+        name: sent to engines with its requests.
+        keys: its keys as the callers send them; never logged.
+        priority: goes before the priority of a route, 0 is the highest; None
+            leaves it to the route.
+        quota: None for no limit.
+    """
+
+    name: str
+    keys: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
+    priority: int | None = None
+    quota: Quota | None = None
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Configuration:
-    """One complete version of the operator's configuration."""
+    """One complete version of the operator's configuration.
+
+    Attributes:
+        organisations: None if requests need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of `host` with the longest prefix of `path`."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -35,6 +35,8 @@
     """Deadline, attempts and log fields of one request.
 
     Attributes:
+        organisation: the organisation that the caller belongs to; None if the
+            configuration or the route asks for no key.
         deadline: loop time at which the timeout of the caller or of the
             route expires, whichever is earlier.
         tried_engines: engines that the request was sent to, in order.
@@ -68,8 +70,10 @@
         route: models.Route,
         service: str,
         config_version: int,
+        organisation: models.Organisation | None = None,
     ) -> None:
         self.request = request
+        self.organisation = organisation
         self.route = route
         self.service = service
         self.config_version = config_version
@@ -97,6 +101,20 @@
         self.adapter_version = 0
         self.claims = 0
 
+    @property
+    def organisation_name(self) -> str:
+        """Name of the caller's organisation; empty if there is none."""
+        return "" if self.organisation is None else self.organisation.name
+
+    @property
+    def rank(self) -> int:
+        """Priority of the request, 0 is the highest."""
+        if self.organisation is not None:
+            priority = self.organisation.priority
+            if priority is not None:
+                return priority
+        return self.route.priority
+
     @functools.cached_property
     def fingerprints(self) -> tuple[str, ...]:
         """What identifies the request when it is sent again."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
@@ -102,6 +102,8 @@
         target_at: float,
         wait_until: float,
         pause_wait_until: float,
+        rank: int = 0,
+        organisation: str = "",
     ) -> EngineSelection:
         """Selects an engine and waits until the adapter is ready on it.
 
@@ -116,6 +118,8 @@
             wait_until: loop time until which to wait for an adapter slot.
             pause_wait_until: loop time until which to wait while all engines
                 want a pause.
+            rank: priority of the request, 0 is the highest.
+            organisation: name of the caller's organisation; empty if none.
 
         Raises:
             RequestRejectedError: no engine is available in time.
@@ -140,6 +144,8 @@
                 prompt_tokens=prompt_tokens,
                 seconds_to_target=target_at - asked_at,
                 max_wait_seconds=wait_until - asked_at,
+                rank=rank,
+                organisation=organisation,
             )
             result = await self._find_once(service, placement_request)
             if isinstance(result, EngineSelection):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -230,6 +230,8 @@
             pause_wait_until=wait_until
             if relay.reply.begun
             else call.pause_wait_until,
+            rank=call.rank,
+            organisation=call.organisation_name,
         )
 
     async def _find_or_return(
