Keys: callers are recognized by the organisations' keys

Cause: organisations and public routes of the configuration were not read.

Change: organisations are decoded (an odd one is decoded to what is certain and named in one log line without keys). Each request on a route that is not public needs exactly one key, found by its digest in the configuration applied when it arrives; otherwise it is answered 401 before it is routed. The key is removed when the request is decoded, the organisation's name is sent to engines in its place. With `revokeFailClosed`, a host whose configuration was not confirmed by the store or the leader for `revocationMs` answers 503 on these routes. Without organisations nothing changes, except that a key is never passed on.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
@@ -5,6 +5,8 @@
 from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import models
 
+MAX_NAMED_PROBLEMS = 20
+
 
 @final
 class AppliedConfiguration:
@@ -27,12 +29,24 @@
             return False
         before = self.current.version if self.current else 0
         self.current = configuration
+        if configuration.problems:
+            self.report(
+                "configuration_odd",
+                {
+                    "config": configuration.version,
+                    "count": len(configuration.problems),
+                    "problems": configuration.problems[:MAX_NAMED_PROBLEMS],
+                },
+            )
         self.report(
             "configuration_applied",
             {
                 "config": configuration.version,
                 "before": before,
                 "routes": len(configuration.routes),
+                "organisations": None
+                if configuration.organisations is None
+                else len(configuration.organisations),
             },
         )
         return True
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
@@ -200,6 +200,7 @@
 
     Attributes:
         organisations: None if requests need no keys.
+        problems: what was odd in it, and is used as if it allowed nothing.
     """
 
     version: int
@@ -207,6 +208,7 @@
     services: Mapping[str, Service]
     limits: CallerLimits
     organisations: tuple[Organisation, ...] | None = None
+    problems: tuple[str, ...] = ()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of `host` with the longest prefix of `path`."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -16,6 +16,7 @@
 import dataclasses
 import datetime
 import enum
+import math
 from typing import final
 
 # Time for a node's own read of the store, retries included, once the leader's
@@ -116,6 +117,7 @@
         leader_states: by table, the state that the leader sent.
         applied: by table, the revision up to which this node has applied all
             relevant changes, from its own reads or from the leader.
+        confirmations: by table, the loop time at which it last missed none.
         row_handlers: by table, the callback that applies rows sent by the
             leader.
         read_handlers: by table, the callback that is called with the loop time
@@ -134,6 +136,7 @@
         self.local_states: dict[str, TableState] = {}
         self.leader_states: dict[str, TableState] = {}
         self.applied: dict[str, int] = {}
+        self.confirmations: dict[str, float] = {}
         self.logs: dict[str, RowLog] = {}
         self.row_handlers: dict[str, Callable[[list[Row]], None]] = {}
         self.read_handlers: dict[str, Callable[[float], None]] = {}
@@ -160,6 +163,7 @@
         if known is not None and rows == []:
             revision = known.revision
         self.local_states[table] = TableState(revision, now)
+        self._confirm(table, now)
 
     def apply_update(
         self,
@@ -182,13 +186,17 @@
         if record_leader_read is not None:
             record_leader_read(read_at)
         applied = self.applied.get(table)
-        if rows is None or applied is None or revision <= applied:
+        if applied is not None and revision <= applied:
+            self._confirm(table, read_at)
+            return
+        if rows is None or applied is None:
             return
         apply_rows = self.row_handlers.get(table)
         if apply_rows is not None:
             apply_rows(rows)
             self.logs.setdefault(table, RowLog()).add(rows)
             self.applied[table] = revision
+            self._confirm(table, read_at)
 
     @property
     def max_age(self) -> datetime.timedelta:
@@ -198,6 +206,16 @@
         """
         return self.known_within() - READ_MARGIN
 
+    def confirmed_at(self, table: str) -> float:
+        """Returns the loop time at which this node last missed no change.
+
+        Minus infinity if it has not read the table yet.
+        """
+        return self.confirmations.get(table, -math.inf)
+
+    def _confirm(self, table: str, at: float) -> None:
+        self.confirmations[table] = max(at, self.confirmed_at(table))
+
     def read_cause(self, table: str, now: float) -> ReadCause | None:
         """Returns why this node has to read a table itself.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import datetime
 import itertools
 import math
@@ -11,11 +12,13 @@
 
 from _dogwoodhinge import event_log
 from _dogwoodhinge.fleet import models
+from _dogwoodhinge.gateway import authentication
 from _dogwoodhinge.gateway import call as call_lib
 from _dogwoodhinge.gateway import codec as codec_lib
 from _dogwoodhinge.gateway import errors
 from _dogwoodhinge.gateway import plain as plain_lib
 from _dogwoodhinge.gateway import request_metrics as request_metrics_lib
+from _dogwoodhinge.gateway import requests as requests_lib
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
 from _dogwoodhinge.gateway import streams as streams_lib
 from _dogwoodhinge.gateway import suspects as suspects_lib
@@ -59,8 +62,10 @@
         request_metrics: request_metrics_lib.RequestMetrics,
         rng: random.Random,
         suspects: suspects_lib.Suspects,
+        authenticator: authentication.Authenticator,
     ) -> None:
         self.suspects = suspects
+        self.authenticator = authenticator
         self.codec = codec
         self.configuration = configuration
         self.plain = plain
@@ -117,14 +122,63 @@
                 404, self.codec.node_response_headers(request.request_id)
             )
             return
+        try:
+            holder = self.authenticator.authenticate(
+                configuration,
+                route,
+                request.keys,
+                now=asyncio.get_running_loop().time(),
+            )
+        except authentication.KeyRejectedError as error:
+            self._reject_key(request.request_id, configuration, error, reply)
+            return
+        except authentication.ConfigurationOutdatedError as error:
+            self._reject_outdated(request.request_id, error, reply)
+            return
         call = call_lib.Call(
-            request=request,
+            request=_identify(request, configuration, holder),
             route=route,
             service=self._pick_service(route),
             config_version=configuration.version,
+            organisation=None if holder is None else holder.organisation,
         )
         await self._serve(call, reply)
 
+    def _reject_key(
+        self,
+        request_id: str,
+        configuration: models.Configuration,
+        error: authentication.KeyRejectedError,
+        reply: server.Reply,
+    ) -> None:
+        self.events.write(
+            "key_rejected",
+            {
+                "request": request_id,
+                "reason": error.reason,
+                "key": error.key_digest,
+                "config": configuration.version,
+            },
+        )
+        reply.answer(401, self.codec.node_response_headers(request_id))
+
+    def _reject_outdated(
+        self,
+        request_id: str,
+        error: authentication.ConfigurationOutdatedError,
+        reply: server.Reply,
+    ) -> None:
+        self.events.write(
+            "configuration_outdated",
+            {"request": request_id, "age_ms": int(error.age_seconds * 1000)},
+        )
+        wait = NO_CONFIGURATION_RETRY_DELAY.total_seconds()
+        wait *= 1 + self.rng.random() * RETRY_JITTER
+        headers = self.codec.node_response_headers(
+            request_id, retry_after_seconds=wait
+        )
+        reply.answer(503, headers)
+
     def _reject_unconfigured(
         self, request_id: str, reply: server.Reply
     ) -> None:
@@ -303,6 +357,9 @@
             fields["first_byte_ms"] = int(first_byte * 1000)
         if sent is not None:
             fields["sent_ms"] = int(sent * 1000)
+        if call.organisation is not None:
+            fields["organisation"] = call.organisation_name
+            fields["key"] = call.request.key_digest
         if call.request.adapter is not None:
             fields["parts"] = call.logged_parts
             fields["prompt_tokens"] = call.request.prompt_tokens
@@ -325,3 +382,20 @@
         if call.steps:
             fields["steps"] = call.steps
         self.events.write("request", fields)
+
+
+def _identify(
+    request: requests_lib.Request,
+    configuration: models.Configuration,
+    holder: authentication.KeyHolder | None,
+) -> requests_lib.Request:
+    """Replaces the keys of a request by the name of their organisation."""
+    if holder is not None:
+        return dataclasses.replace(
+            request,
+            keys=(),
+            key_digest=holder.key_digest,
+            organisation=holder.organisation.name,
+        )
+    organisation = None if configuration.organisations is None else ""
+    return dataclasses.replace(request, keys=(), organisation=organisation)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -23,7 +23,11 @@
             share, in order: all but the last, which is the request's own.
         resume_after: id of the last event that the caller received, if it
             resumes a stream.
-        raw: the request as it was read.
+        raw: the request as it was read, without its keys.
+        keys: all keys that the caller sent.
+        key_digest: stands for the key in log lines; empty if there is none.
+        organisation: name to send to engines, none if empty; None passes on
+            what the caller sent under that name.
     """
 
     request_id: str
@@ -36,6 +40,9 @@
     shared_parts: tuple[str, ...]
     resume_after: str | None
     raw: server.RawRequest
+    keys: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
+    key_digest: str = ""
+    organisation: str | None = None
 
 
 @final
--- a/packages/dogwoodhinge/testing/fleet/test_table_updates.py
+++ b/packages/dogwoodhinge/testing/fleet/test_table_updates.py
@@ -1,6 +1,7 @@
 """Tests of the table updates that the leader sends to the other nodes."""
 
 import datetime
+import math
 
 import pytest
 
@@ -154,3 +155,21 @@
     known.apply_update(TABLE, 5, 10.0, None)
     age = leader_age + sync_interval
     assert known.read_cause(TABLE, 10.0 + age) is None
+
+
+def test_table_is_confirmed_by_own_reads_and_by_the_leader() -> None:
+    known = table_updates.TableUpdates(
+        is_leader=lambda: False, known_within=lambda: KNOWN_WITHIN
+    )
+    assert known.confirmed_at(TABLE) == -math.inf
+    known.apply_update(TABLE, 5, 1.0, [])
+    assert known.confirmed_at(TABLE) == -math.inf
+    known.record_read(TABLE, 5, 2.0, rows=None)
+    assert known.confirmed_at(TABLE) == 2.0
+    known.apply_update(TABLE, 5, 3.0, [])
+    assert known.confirmed_at(TABLE) == 3.0
+    known.row_handlers[TABLE] = lambda rows: None
+    known.apply_update(TABLE, 6, 4.0, None)
+    assert known.confirmed_at(TABLE) == 3.0
+    known.apply_update(TABLE, 6, 5.0, [row("e1", 6)])
+    assert known.confirmed_at(TABLE) == 5.0
