Requests wait for the order of their adapter's load

Cause: the leader published a reserved load, with the time at which it should end, before the engine had accepted its order; orders to one engine wait for one another (p95 0.5 s there) or get no reply. A request that such an engine refused made the leader take the load for lost: its slot was blocked until the engine's next report, and the adapter loaded elsewhere.

Change: a load is published when its order is accepted. Other requests for the adapter wait for the same order and learn its end, or its failure. A reserved load counts as in flight until its order has a reply; a refusal before that concerns an earlier copy.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
@@ -41,6 +41,7 @@
         ready_at: loop time from which the adapter can serve.
         used_at: loop time of the last known use; breaks ties.
         from_store: the weights are loaded from the weight store.
+        ordered: False while the order of a reserved load has no reply yet.
         ordered_at: loop time at which the load order was accepted.
         order_number: number of orders that the engine had accepted then.
         reservation: number of the reservation that it was taken by; 0 if the
@@ -56,6 +57,7 @@
     ready_at: float
     used_at: float
     from_store: bool = False
+    ordered: bool = True
     ordered_at: float = 0.0
     order_number: int = 0
     reservation: int = 0
@@ -65,7 +67,9 @@
 
     def is_loading(self, now: float) -> bool:
         """Returns whether the load of the adapter is in flight."""
-        return self.state is SlotState.LOADING and self.ready_at > now
+        return self.state is SlotState.LOADING and (
+            not self.ordered or self.ready_at > now
+        )
 
 
 @final
@@ -196,6 +200,8 @@
         engine_id: id of the engine.
         version: version of the adapter there; 0 for the newest.
         ready_at: loop time from which the adapter can serve.
+        ordered: the engine holds the adapter or has accepted its load;
+            `ready_at` is a guess otherwise.
         evict: adapter to unload first; None if a slot is free.
         evicted_slot: the slot that it had.
         reservation: number of the reservation of a new assignment.
@@ -205,6 +211,7 @@
     engine_id: str
     version: int
     ready_at: float
+    ordered: bool = True
     evict: models.AdapterKey | None = None
     evicted_slot: AdapterSlot | None = None
     reservation: int = 0
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 import dataclasses
 import datetime
+import functools
 import math
 import random
 from typing import final
@@ -68,7 +69,7 @@
         leading: whether this node acts as the leader.
         leading_since: loop time from which it does.
         state_reads: reads of engine states in flight, by engine.
-        loads: adapter loads in flight.
+        loads: load orders in flight, by engine and adapter.
         rejected: placement requests rejected since the last log line.
         prefill_schedule: when each engine may get its next prompt.
         candidates: engines that may load adapters of a model, in one pass over
@@ -105,7 +106,7 @@
         self.state_reads: dict[str, asyncio.Task[None]] = {}
         self.placement_queue = placement_queue_lib.PlacementQueue(
             find=self._find,
-            load=self._load,
+            load=self._load_of,
             lead_time=self._expected_delay,
             rng=random.Random(),
         )
@@ -114,7 +115,10 @@
         self.candidates_of: tuple[str, float] = ("", -math.inf)
         self.rejected = 0
         self.rejection_logged_at = -math.inf
-        self.loads: set[asyncio.Task[adapter_slots_lib.Assignment]] = set()
+        self.loads: dict[
+            tuple[str, models.AdapterKey],
+            asyncio.Task[adapter_slots_lib.Assignment],
+        ] = {}
         self.leading = False
         self.leading_since = -math.inf
 
@@ -148,7 +152,8 @@
             return await self._wait(request)
         if result.new:
             self.placement_queue.record_assignment()
-            return await asyncio.shield(self._start_load(result, request))
+        if result.new or not result.ordered:
+            return await asyncio.shield(self._load_of(result, request))
         return result
 
     def _find(
@@ -263,6 +268,23 @@
         )
         return dataclasses.replace(assignment, ready_at=ready_at)
 
+    def _load_of(
+        self,
+        assignment: adapter_slots_lib.Assignment,
+        request: adapter_slots_lib.PlacementRequest,
+    ) -> asyncio.Future[adapter_slots_lib.Assignment]:
+        """Starts the load of a new assignment, or joins the one in flight."""
+        if assignment.new:
+            return self._start_load(assignment, request)
+        in_flight = self.loads.get((assignment.engine_id, request.key))
+        if in_flight is not None:
+            return in_flight
+        failed = asyncio.get_running_loop().create_future()
+        failed.set_exception(
+            placement_queue_lib.NoFreeSlotError(FAILED_ORDER_RETRY_DELAY)
+        )
+        return failed
+
     def _start_load(
         self,
         assignment: adapter_slots_lib.Assignment,
@@ -271,14 +293,18 @@
         # The caller may be cancelled, but the slots must still be updated. Not
         # `add_future`: a failed order would end the service there.
         task = asyncio.ensure_future(self._load(assignment, request))
-        self.loads.add(task)
-        task.add_done_callback(self._finish_load)
+        slot = (assignment.engine_id, request.key)
+        self.loads[slot] = task
+        task.add_done_callback(functools.partial(self._finish_load, slot))
         return task
 
     def _finish_load(
-        self, task: asyncio.Task[adapter_slots_lib.Assignment]
+        self,
+        slot: tuple[str, models.AdapterKey],
+        task: asyncio.Task[adapter_slots_lib.Assignment],
     ) -> None:
-        self.loads.discard(task)
+        if self.loads.get(slot) is task:
+            del self.loads[slot]
         if not task.cancelled():
             # Marks the exception as retrieved: the caller, if it still waits,
             # gets it too, and it is logged already.
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -350,6 +350,7 @@
         slot = None if engine is None else engine.adapter_slots.get(key)
         if engine is None or slot is None:
             return None
+        slot.ordered = True
         slot.ordered_at = at
         slot.order_number = order_number
         slot.expected = self.load_times.expected(at, from_store=slot.from_store)
@@ -499,6 +500,8 @@
         slot = None if engine is None else engine.adapter_slots.get(key)
         if slot is None or slot.state in adapter_slots_lib.UNSETTLED:
             return
+        if not slot.ordered:
+            return  # the request was sent to an earlier copy
         if now - slot.ordered_at > _lost_after_seconds(slot):
             # The load may still be executed, so the slot is not free.
             slot.state = adapter_slots_lib.SlotState.UNCONFIRMED
@@ -583,7 +586,7 @@
             )
             for engine_id, engine in self.engines.items()
             for key, p in engine.adapter_slots.items()
-            if p.state not in adapter_slots_lib.UNSETTLED
+            if p.state not in adapter_slots_lib.UNSETTLED and p.ordered
         ]
 
     def count_slots(self, now: float) -> dict[str, int]:
@@ -629,6 +632,7 @@
                 engine_id=candidate.engine_id,
                 version=slot.version,
                 ready_at=slot.ready_at,
+                ordered=slot.ordered,
             )
             load = self._load(candidate, now)
             if best is None or load < best[0]:
@@ -732,7 +736,7 @@
     ) -> bool:
         if slot.state in adapter_slots_lib.UNSETTLED:
             return False
-        if key in self.in_use:
+        if key in self.in_use or not slot.ordered:
             return False
         return now - slot.ready_at > EVICTION_GRACE_SECONDS
 
@@ -758,13 +762,18 @@
             ready_at,
             now,
             from_store,
+            ordered=False,
             reservation=self.last_reservation,
         )
-        self._set_slot(engine, key, slot)
+        # Published once the order is accepted: until then, it may fail and
+        # nobody knows when the load will end.
+        engine.adapter_slots[key] = slot
+        engine.record_in_memory(key)
         return adapter_slots_lib.Assignment(
             engine_id=engine.engine_id,
             version=version,
             ready_at=ready_at,
+            ordered=False,
             evict=victim,
             evicted_slot=evicted_slot,
             reservation=self.last_reservation,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
@@ -1,10 +1,10 @@
 """Queues placement requests without a free slot, and serves them in order."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable
 import datetime
 import random
-from typing import Any, final
+from typing import final
 
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
 from _dogwoodhinge.fleet import wait_queue
@@ -24,7 +24,7 @@
 ]
 LoadAdapter = Callable[
     [adapter_slots_lib.Assignment, adapter_slots_lib.PlacementRequest],
-    Coroutine[Any, Any, adapter_slots_lib.Assignment],
+    Awaitable[adapter_slots_lib.Assignment],
 ]
 
 
@@ -151,29 +151,30 @@
             self._remove(waiter)
             if found.new:
                 self.queue.record_assignment(now)
-                self._start_load(found, request, future)
+            if found.new or not found.ordered:
+                self._await_load(found, request, future)
             elif not future.done():
                 future.set_result(found)
 
-    def _start_load(
+    def _await_load(
         self,
         assignment: adapter_slots_lib.Assignment,
         request: adapter_slots_lib.PlacementRequest,
         future: asyncio.Future[adapter_slots_lib.Assignment],
     ) -> None:
         # The load continues even if the requesting node stops waiting.
-        task = asyncio.ensure_future(self._load(assignment, request, future))
+        load = self.load(assignment, request)
+        task = asyncio.ensure_future(self._forward(load, future))
         self.loads.add(task)
         task.add_done_callback(self.loads.discard)
 
-    async def _load(
+    async def _forward(
         self,
-        assignment: adapter_slots_lib.Assignment,
-        request: adapter_slots_lib.PlacementRequest,
+        load: Awaitable[adapter_slots_lib.Assignment],
         future: asyncio.Future[adapter_slots_lib.Assignment],
     ) -> None:
         try:
-            loaded = await self.load(assignment, request)
+            loaded = await load
         except NoFreeSlotError as error:
             if not future.done():
                 future.set_exception(error)
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -685,3 +685,46 @@
         engine, now
     )
     assert found is expected
+
+
+async def test_requests_for_an_adapter_share_the_order_in_flight(
+    node: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: later ones were sent to the engine before its order was.
+
+    The end of the load is known once the engine has accepted the order.
+    """
+    await wait_for_engine_state(node)
+    accept = asyncio.Event()
+    load = node.leader.loader.load
+
+    async def load_late(
+        assignment: adapter_slots_lib.Assignment, key: models.AdapterKey
+    ) -> None:
+        await accept.wait()
+        await load(assignment, key)
+
+    monkeypatch.setattr(node.leader.loader, "load", load_late)
+    request = adapter_slots_lib.PlacementRequest(key=KEY, version=0)
+    tasks = [asyncio.create_task(node.leader.place(request)) for _ in range(3)]
+    done, _ = await asyncio.wait(tasks, timeout=0.1)
+    assert not done
+    accept.set()
+    found = await asyncio.gather(*tasks)
+    slot = node.leader.placement.engines["e1"].adapter_slots[KEY]
+    assert {assignment.ready_at for assignment in found} == {slot.ready_at}
+
+
+async def test_requests_that_share_an_order_learn_of_its_failure(
+    node: Node, orders: fleet_fakes.FakeOrders
+) -> None:
+    await wait_for_engine_state(node)
+    orders.lose.extend([False] * loader.MAX_SEND_ATTEMPTS)
+    request = adapter_slots_lib.PlacementRequest(key=KEY, version=0)
+    results = await asyncio.gather(
+        *(node.leader.place(request) for _ in range(3)),
+        return_exceptions=True,
+    )
+    assert {type(result) for result in results} == {
+        placement_queue.NoFreeSlotError
+    }
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -760,3 +760,77 @@
     assignment = find(placement, CAPACITY, keeping, now=60.0)
     assert isinstance(assignment, adapter_slots_lib.Assignment)
     assert assignment.evict is not None
+
+
+def count_early_sends(*, order_seconds: float) -> int:
+    """Replays a crowd of loads and counts the requests sent too early.
+
+    Another node reads the changes every 0.2 s and sends a request for each
+    adapter at the time at which it was last told to be ready.
+
+    Args:
+        order_seconds: time until an engine accepts an order; orders to one
+            engine wait for one another.
+    """
+    loads, duration = 40, load_times.INITIAL_LOAD_SECONDS
+    placement = placement_lib.Placement()
+    placement.set_engine(
+        "e1", capacity=500, residents={}, pending={}, in_memory=(), now=0.0
+    )
+    wide = adapter_slots_lib.Candidate("e1", 500, SLOTS, engines.Work(), 0.0)
+    ready: dict[models.AdapterKey, float] = {}
+    loaded: dict[models.AdapterKey, float] = {}
+    early = known = 0
+    for step in range(200):
+        now = step * 0.02
+        if step < loads:
+            find(placement, step, wide, now=now)
+        ordered = int(now / order_seconds)
+        if len(loaded) < min(ordered, loads, step):
+            accepted = key(len(loaded))
+            loaded[accepted] = now + duration
+            placement.confirm_order("e1", accepted, at=now)
+        for due in [k for k, at in ready.items() if at <= now]:
+            del ready[due]
+            early += loaded.get(due, now + duration) > now
+        if step % 10 == 0:
+            changes = placement.changes_since(known)
+            assert changes is not None
+            known = placement.last_change
+            ready.update((c.key, c.ready_at) for c in changes)
+    return early
+
+
+@pytest.mark.parametrize("order_seconds", [0.02, 0.06, 0.1])
+def test_loads_are_told_once_their_orders_are_accepted(
+    monkeypatch: pytest.MonkeyPatch, order_seconds: float
+) -> None:
+    """Regression: requests came to engines that had no order for their adapter.
+
+    The time of the end of a load was told before the engine had accepted its
+    order. Orders wait for one another, and some get no reply.
+    """
+    monkeypatch.setattr(placement_lib, "MAX_LOADS_IN_FLIGHT", 500)
+    assert count_early_sends(order_seconds=order_seconds) == 0
+
+
+def test_absence_before_the_order_does_not_concern_the_reserved_slot() -> None:
+    """Regression: the slot was lost, and its adapter loaded a second time."""
+    placement = make_placement("e1")
+    assignment = find(placement, 1, candidate("e1"), now=5.0)
+    assert isinstance(assignment, adapter_slots_lib.Assignment)
+    placement.record_absent("e1", key(1), 5.1)
+    placement.confirm_order("e1", key(1), at=5.2)
+    again = find(placement, 1, candidate("e1"), now=5.3)
+    assert isinstance(again, adapter_slots_lib.Assignment)
+    assert not again.new
+
+
+def test_load_whose_order_has_no_reply_counts_as_in_flight() -> None:
+    placement = make_placement("e1")
+    find(placement, 1, candidate("e1"), now=0.0)
+    engine = placement.engines["e1"]
+    assert engine.loading(9.0) == 1
+    placement.confirm_order("e1", key(1), at=9.0)
+    assert engine.loading(9.1) == 1
+    assert engine.loading(9.9) == 0
