Engines that leave requests unanswered are left, and spared further ones

What callers saw: a request sent to an engine that says nothing waited there until its deadline, and further requests followed it.

Cause: the limit on an engine's silence grew with the unread prompts of the very requests that it left unanswered, of all nodes. When the silence was noticed, the request's time to wait for a place had passed, so the leader refused it unless a place was free at that moment. It needed two retries of the node's own budget, one of them for a return that makes no sense there; retries of the shared budget were not asked for. A request that ended at its deadline left no mark on its engine, so its share of the work went on going there.

Change: fleet/answers.py holds what an engine has answered to this node and decides who is silent; the limit is fixed when a request is sent and bounded. The request secures one retry, of the node or of all nodes, and waits for a place as an interrupted stream does. If fewer than half of the engines answer, all are used.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engine_selection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engine_selection.py
@@ -11,7 +11,7 @@
 choose the same engine.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 import random
 
 from _dogwoodhinge.fleet import engines as engines_lib
@@ -31,6 +31,10 @@
 # milliseconds.
 CROSS_ZONE_COST = 0.02
 
+# Share of a service's engines that answer, below which those that do not are
+# used as well.
+MIN_ANSWERING_SHARE = 0.5
+
 # Smaller score differences are noise, because the load reports lag behind.
 TIE_BREAK_RANGE = 0.02
 
@@ -74,6 +78,24 @@
     return result
 
 
+def answering(
+    engines: Sequence[engines_lib.Engine], now: float
+) -> Sequence[engines_lib.Engine]:
+    """Returns the engines that answer, as far as this node has seen.
+
+    If most of a service's engines do not answer, the fault is more likely to
+    lie with this node's own links, and all are returned.
+
+    Args:
+        engines: the engines of one service.
+        now: loop time.
+    """
+    found = [engine for engine in engines if engine.answers.may_send(now)]
+    if len(found) < len(engines) * MIN_ANSWERING_SHARE:
+        return engines
+    return found
+
+
 def choose(
     candidates: Iterable[engines_lib.Engine],
     *,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -5,6 +5,7 @@
 import math
 from typing import final
 
+from _dogwoodhinge.fleet import answers as answers_lib
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import pause as pause_lib
@@ -63,6 +64,7 @@
         unread_tokens: prompt tokens of those without a first event yet.
         running_elsewhere: requests of other nodes, from the last sync.
         unread_tokens_elsewhere: prompt tokens of those without a first event.
+        answers: what it has answered to this node.
         pause: the pause that it has asked this node for.
         held_adapters: adapters on it, from the leader and from its own entry.
     """
@@ -79,6 +81,7 @@
         self.running_elsewhere = 0
         self.unread_tokens_elsewhere = 0
         self.health = health_lib.EngineHealth()
+        self.answers = answers_lib.Answers()
         self.pause = pause_lib.Pause()
         self.held_adapters: dict[models.AdapterKey, HeldAdapter] = {}
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
@@ -1,7 +1,7 @@
 """Selects the engine that runs a request for an adapter."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 import dataclasses
 import datetime
 import functools
@@ -184,11 +184,16 @@
     ) -> "EngineSelection | errors.RequestRejectedError":
         now = asyncio.get_running_loop().time()
         key = placement_request.key
+        answering = self._answering(service, now)
         engines = [
-            e
-            for e in self.directory.accepting(service, now)
-            if e.engine_id not in placement_request.avoid
+            e for e in answering if e.engine_id not in placement_request.avoid
         ]
+        if not engines:
+            engines = [
+                e
+                for e in self.directory.accepting(service, now)
+                if e.engine_id not in placement_request.avoid
+            ]
         if not engines:
             return errors.RequestRejectedError(
                 "no_engine",
@@ -258,15 +263,30 @@
             include_unhealthy: whether to include engines that failed
                 recently.
         """
+        answering = {e.engine_id for e in self._answering(service, now)}
         return [
             (engine, held_adapter)
             for engine, held_adapter in self.directory.holders(service, key)
             if held_adapter.version >= version
             and engine.engine_id not in avoid
             and engine.opens_at(now) <= now
-            and (include_unhealthy or not engine.health.should_avoid(now))
+            and (
+                include_unhealthy
+                or (
+                    engine.engine_id in answering
+                    and not engine.health.should_avoid(now)
+                )
+            )
         ]
 
+    def _answering(
+        self, service: str, now: float
+    ) -> Sequence[engines_lib.Engine]:
+        """Returns the engines of a service that take requests and answer."""
+        return engine_selection.answering(
+            self.directory.accepting(service, now), now
+        )
+
     def _overloaded_holders(
         self,
         engines: list[engines_lib.Engine],
@@ -331,10 +351,11 @@
     ) -> EngineSelection:
         loop = asyncio.get_running_loop()
         now = loop.time()
+        answering = {e.engine_id for e in self._answering(service, now)}
         unusable = {
             e.engine_id
             for e in self.directory.of_service(service)
-            if e.leaving or e.opens_at(now) > now or e.health.should_avoid(now)
+            if e.engine_id not in answering or e.health.should_avoid(now)
         }
         try:
             assignment = await self.leader_client.place(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -291,6 +291,7 @@
         other = self._choose(call)
         return (
             other is not None
+            and other.answers.may_send(now)
             and not other.health.should_avoid(now)
             and await self._may_retry(call, attempts)
         )
@@ -341,11 +342,14 @@
     def _choose(self, call: call_lib.Call) -> engines_lib.Engine | None:
         now = asyncio.get_running_loop().time()
         serving = self.directory.accepting(call.service, now)
-        untried = [
-            e for e in serving if e.engine_id not in call.excluded_engines
-        ]
+        excluded = call.excluded_engines
+        untried = [e for e in serving if e.engine_id not in excluded]
+        answering = engine_selection.answering(serving, now)
         return engine_selection.choose(
-            untried, zone=self.zone, now=now, rng=self.rng
+            [e for e in answering if e.engine_id not in excluded] or untried,
+            zone=self.zone,
+            now=now,
+            rng=self.rng,
         )
 
     async def _fetch_from(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -13,6 +13,7 @@
 import h11
 
 from _dogwoodhinge.fleet import announcements as announcements_lib
+from _dogwoodhinge.fleet import answers as answers_lib
 from _dogwoodhinge.fleet import engine_selection
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
@@ -40,10 +41,6 @@
 MAX_REJECTION_BODY_BYTES = 64 * 1024
 REJECTION_BODY_TIMEOUT = datetime.timedelta(milliseconds=200)
 
-# An engine counts as silent if no connection with a request in progress
-# receives data for this long. At full load, a running request produces an event
-# every 60 ms.
-SILENCE_TIMEOUT = datetime.timedelta(milliseconds=700)
 SILENCE_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
 # Time between two attempts to find another engine for a request whose engine
@@ -59,12 +56,6 @@
 # not count as an unreachable engine.
 RECENT_ACTIVITY_WINDOW = datetime.timedelta(milliseconds=500)
 
-# The response to a request counts as lost if the engine has answered a request
-# that was sent later by more than OVERTAKEN_THRESHOLD, and the request itself
-# has waited longer than LOST_RESPONSE_TIMEOUT.
-OVERTAKEN_THRESHOLD = datetime.timedelta(milliseconds=250)
-LOST_RESPONSE_TIMEOUT = datetime.timedelta(milliseconds=700)
-
 # Statuses that tell the caller that the request did not run. A response with
 # one of them is not forwarded unless the engine confirms it in a header.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -231,40 +222,6 @@
         await asyncio.gather(prepared, readable, return_exceptions=True)
 
 
-@final
-class EngineConnections:
-    """The connections to one incarnation of an engine.
-
-    Attributes:
-        last_byte_at: loop time at which any of them last received data.
-        answered: by priority, the loop time at which the latest of the
-            answered requests was sent.
-    """
-
-    def __init__(self, pool: pool_lib.ConnectionPool, now: float) -> None:
-        self.pool = pool
-        self.last_byte_at = now
-        self.answered: dict[int, float] = {}
-
-    def record_response(self, priority: int, sent_at: float) -> None:
-        """Records that the response to a request arrived."""
-        latest = self.answered.get(priority, sent_at)
-        self.answered[priority] = max(latest, sent_at)
-
-    def overtaken_seconds(self, priority: int, sent_at: float) -> float:
-        """Returns how many seconds later an answered request was sent.
-
-        Requests of a higher priority do not count, as the engine admits them
-        first. The result is 0 if no later request has been answered.
-        """
-        later = (
-            answered - sent_at
-            for level, answered in self.answered.items()
-            if level >= priority
-        )
-        return max(later, default=0.0)
-
-
 class BodyFraming(enum.StrEnum):
     """What marks the end of a response's body."""
 
@@ -308,13 +265,17 @@
         *,
         head: requests.ResponseHead,
         framing: BodyFraming,
-        engine_connections: EngineConnections,
+        engine: engines_lib.Engine,
+        exchange: answers_lib.Exchange,
+        pool: pool_lib.ConnectionPool,
         connection: connection_lib.Connection,
         ends: collections.Counter[tuple[BodyFraming, ResponseEnd]],
     ) -> None:
         self.head = head
         self.framing = framing
-        self.engine_connections = engine_connections
+        self.engine = engine
+        self.exchange = exchange
+        self.pool = pool
         self.connection = connection
         self.complete = False
         self.end = ResponseEnd.LEFT
@@ -358,7 +319,7 @@
             except http_errors.HttpError as error:
                 self.end = ResponseEnd.BROKE_OFF
                 raise IncompleteResponseError(str(error)) from error
-            self.engine_connections.last_byte_at = loop.time()
+            self.engine.answers.record_data(loop.time())
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -377,14 +338,35 @@
     def close(self) -> None:
         """Returns the connection to the pool if the response is complete."""
         self.ends[self.framing, self.end] += 1
+        now = asyncio.get_running_loop().time()
+        self.engine.answers.end(self.exchange, now)
         if self.complete and not self.head.closing:
             if self.head.keep_alive_seconds is not None:
-                self.engine_connections.pool.set_idle_limit(
-                    self.head.keep_alive_seconds
-                )
-            self.engine_connections.pool.release(self.connection)
+                self.pool.set_idle_limit(self.head.keep_alive_seconds)
+            self.pool.release(self.connection)
         else:
-            self.engine_connections.pool.discard(self.connection)
+            self.pool.discard(self.connection)
+
+
+def _connect_failure(
+    engine: engines_lib.Engine, pool: pool_lib.ConnectionPool, now: float
+) -> health_lib.Failure:
+    """Classifies a failed connect as a lost packet or an engine down."""
+    silence = now - engine.answers.last_data_at
+    if pool.in_use and silence < RECENT_ACTIVITY_WINDOW.total_seconds():
+        return health_lib.Failure.CONNECT_FAILED
+    return health_lib.Failure.UNREACHABLE
+
+
+def _switch_reason(
+    engine: engines_lib.Engine, exchange: answers_lib.Exchange, now: float
+) -> errors.OutcomeUnknownError | None:
+    """Returns the error with which to stop waiting, None to go on."""
+    if engine.answers.is_silent(exchange, now):
+        return SilentEngineError("no data on any connection to the engine")
+    if engine.answers.is_lost(exchange, now):
+        return LostResponseError("responses to later requests have arrived")
+    return None
 
 
 @final
@@ -411,9 +393,7 @@
         self.codec = codec
         self.connections_per_node = connections_per_node
         self.announcements = announcements
-        self.connections_by_engine: dict[
-            tuple[str, int], EngineConnections
-        ] = {}
+        self.pools: dict[tuple[str, int], pool_lib.ConnectionPool] = {}
 
     async def open(
         self,
@@ -443,23 +423,29 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         _check_takes_work(engine, now)
-        engine_connections = self._engine_connections(engine, now)
+        pool = self._pool(engine)
         try:
-            connection = await engine_connections.pool.acquire(
+            connection = await pool.acquire(
                 fresh_only=not repeatable, request_id=request.request_id
             )
         except http_errors.PoolFullError as error:
             raise errors.NotRunError(str(error), unreachable=True) from error
         except http_errors.ConnectError as error:
             engine.health.record_failure(
-                self._connect_failure(engine_connections), now
+                _connect_failure(engine, pool, loop.time()), now
             )
             raise errors.NotRunError(str(error), unreachable=True) from error
+        exchange = engine.answers.begin(
+            loop.time(),
+            backlog=engine_selection.prefill_backlog_seconds(engine.work),
+            priority=parameters.priority or 0,
+        )
         try:
             _check_takes_work(engine, loop.time())
             return await self._exchange(
                 engine,
-                engine_connections,
+                exchange,
+                pool,
                 connection,
                 request,
                 parameters,
@@ -467,68 +453,41 @@
                 repeatable=repeatable,
             )
         except BaseException as error:
+            engine.answers.end(exchange, loop.time())
             if isinstance(error, errors.OutcomeUnknownError):
                 error.ended_by_engine = connection.end_reason in ENDED_BY_ENGINE
-            if connection in engine_connections.pool.in_use:
-                engine_connections.pool.discard(connection)
+            if connection in pool.in_use:
+                pool.discard(connection)
             raise
 
-    def _connect_failure(
-        self, engine_connections: EngineConnections
-    ) -> health_lib.Failure:
-        """Classifies a failed connect as a lost packet or an engine down."""
-        silence = (
-            asyncio.get_running_loop().time() - engine_connections.last_byte_at
-        )
-        if (
-            engine_connections.pool.in_use
-            and silence < RECENT_ACTIVITY_WINDOW.total_seconds()
-        ):
-            return health_lib.Failure.CONNECT_FAILED
-        return health_lib.Failure.UNREACHABLE
-
-    def is_silent(self, engine: engines_lib.Engine, now: float) -> bool:
-        """Returns whether no connection to an engine receives data."""
-        engine_connections = self._engine_connections(engine, now)
-        silence = now - engine_connections.last_byte_at
-        backlog = engine_selection.prefill_backlog_seconds(engine.work)
-        return silence > SILENCE_TIMEOUT.total_seconds() + backlog
-
     def find_pool(
         self, engine: engines_lib.Engine
     ) -> pool_lib.ConnectionPool | None:
         """Returns the connections to an engine; None if it is gone."""
-        found = self.connections_by_engine.get(engine.entry.incarnation)
-        return None if found is None else found.pool
+        return self.pools.get(engine.entry.incarnation)
 
     def remove_engine(self, engine: engines_lib.Engine) -> None:
         """Closes the idle connections to an engine that is gone."""
-        engine_connections = self.connections_by_engine.pop(
-            engine.entry.incarnation, None
-        )
-        if engine_connections is not None:
-            engine_connections.pool.close()
+        pool = self.pools.pop(engine.entry.incarnation, None)
+        if pool is not None:
+            pool.close()
 
-    def _engine_connections(
-        self, engine: engines_lib.Engine, now: float
-    ) -> EngineConnections:
+    def _pool(self, engine: engines_lib.Engine) -> pool_lib.ConnectionPool:
         entry = engine.entry
-        engine_connections = self.connections_by_engine.get(entry.incarnation)
-        if engine_connections is None:
+        pool = self.pools.get(entry.incarnation)
+        if pool is None:
             pool = pool_lib.ConnectionPool(
                 host=entry.host, port=entry.port, limit=1
             )
-            engine_connections = EngineConnections(pool, now)
-            self.connections_by_engine[entry.incarnation] = engine_connections
-        engine_connections.pool.limit = self.connections_per_node(entry.service)
-        if not engine_connections.pool.in_use:
-            engine_connections.last_byte_at = now
-        return engine_connections
+            self.pools[entry.incarnation] = pool
+        pool.limit = self.connections_per_node(entry.service)
+        return pool
 
     async def _exchange(
         self,
         engine: engines_lib.Engine,
-        engine_connections: EngineConnections,
+        exchange: answers_lib.Exchange,
+        pool: pool_lib.ConnectionPool,
         connection: connection_lib.Connection,
         request: requests.Request,
         parameters: requests.DispatchParameters,
@@ -551,17 +510,15 @@
             raise errors.NotRunError(str(error), unreachable=True) from error
         for _ in range(MAX_STALE_RESPONSES):
             raw_head = await self._read_head(
-                engine,
-                engine_connections,
-                connection,
-                parameters,
-                prepare_switch,
+                engine, exchange, connection, prepare_switch
             )
             decoded = self.codec.decode_response(raw_head)
             response = OpenResponse(
                 head=decoded,
                 framing=_body_framing(raw_head),
-                engine_connections=engine_connections,
+                engine=engine,
+                exchange=exchange,
+                pool=pool,
                 connection=connection,
                 ends=self.response_ends,
             )
@@ -620,14 +577,11 @@
     async def _read_head(
         self,
         engine: engines_lib.Engine,
-        engine_connections: EngineConnections,
+        exchange: answers_lib.Exchange,
         connection: connection_lib.Connection,
-        parameters: requests.DispatchParameters,
         prepare_switch: PrepareSwitch | None,
     ) -> h11.Response:
         loop = asyncio.get_running_loop()
-        sent_at = loop.time()
-        priority = parameters.priority or 0
         check_interval = (
             None
             if prepare_switch is None
@@ -641,39 +595,17 @@
                     functools.partial(self._next_response, connection),
                 )
             except TimeoutError as error:
-                reason = self._switch_reason(
-                    engine, engine_connections, priority, sent_at
-                )
+                reason = _switch_reason(engine, exchange, loop.time())
                 if reason is None or prepare_switch is None:
                     continue
                 if await _data_arrives_first(connection, prepare_switch):
                     check_interval = SWITCH_RETRY_INTERVAL.total_seconds()
                     continue
                 raise reason from error
-            engine_connections.last_byte_at = loop.time()
-            engine_connections.record_response(priority, sent_at)
+            engine.answers.record_data(loop.time())
+            engine.answers.record_head(exchange)
             return head
 
-    def _switch_reason(
-        self,
-        engine: engines_lib.Engine,
-        engine_connections: EngineConnections,
-        priority: int,
-        sent_at: float,
-    ) -> errors.OutcomeUnknownError | None:
-        """Returns the error with which to stop waiting, None to go on."""
-        now = asyncio.get_running_loop().time()
-        backlog = engine_selection.prefill_backlog_seconds(engine.work)
-        if self.is_silent(engine, now):
-            return SilentEngineError("no data on any connection to the engine")
-        overtaken = engine_connections.overtaken_seconds(priority, sent_at)
-        if (
-            overtaken > OVERTAKEN_THRESHOLD.total_seconds()
-            and now - sent_at > LOST_RESPONSE_TIMEOUT.total_seconds() + backlog
-        ):
-            return LostResponseError("responses to later requests have arrived")
-        return None
-
     async def _next_response(
         self, connection: connection_lib.Connection
     ) -> h11.Response:
@@ -713,7 +645,7 @@
         prepare_switch: PrepareSwitch | None,
     ) -> None:
         """Reads a response to another request; see `open` for the arguments."""
-        limit = None if prepare_switch is None else SILENCE_TIMEOUT
+        limit = None if prepare_switch is None else answers_lib.SILENCE_TIMEOUT
         async for _ in response.chunks(
             silence_timeout=limit, prepare_switch=prepare_switch
         ):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -209,12 +209,27 @@
         call.retry_due = False
 
     async def _find(
-        self, call: call_lib.Call, relay: "Relay", absent_from: str
+        self,
+        call: call_lib.Call,
+        relay: "Relay",
+        absent_from: str,
+        *,
+        unanswered: bool = False,
     ) -> engine_finder_lib.EngineSelection:
+        """Selects an engine.
+
+        Args:
+            call: the request.
+            relay: the caller's side of its stream.
+            absent_from: an engine that just reported that the adapter is not
+                loaded; empty if there is none.
+            unanswered: whether an engine has left the request unanswered. Its
+                time for a place has passed by then.
+        """
         assert call.request.adapter is not None
         target_at = call.target_at
         wait_until = self._placement_wait_until(call)
-        if relay.reply.begun:
+        if relay.reply.begun or unanswered:
             target_at = call.deadline
             now = asyncio.get_running_loop().time()
             resume_until = now + RESUME_TIMEOUT.total_seconds()
@@ -403,19 +418,25 @@
     ) -> bool:
         """Returns whether the request may be sent to another engine."""
         now = asyncio.get_running_loop().time()
-        others = [
-            other
-            for other in self.engine_finder.directory.serving(call.service)
-            if other is not engine and not other.health.should_avoid(now)
-        ]
         switches = 1 + self.switching[call.service]
         retries = switches * (1 + RETURN_RETRIES)
         return (
-            call.may_try_another_engine
-            and bool(others)
+            self._has_other_engine(call, engine)
             and self.budget.left(call.service, now) >= retries
         )
 
+    def _has_other_engine(
+        self, call: call_lib.Call, engine: engines_lib.Engine
+    ) -> bool:
+        """Returns whether the route allows another engine, and one is sound."""
+        now = asyncio.get_running_loop().time()
+        return call.may_try_another_engine and any(
+            other is not engine
+            and other.answers.may_send(now)
+            and not other.health.should_avoid(now)
+            for other in self.engine_finder.directory.serving(call.service)
+        )
+
     async def _prepare_switch(
         self,
         call: call_lib.Call,
@@ -432,6 +453,11 @@
         Returns:
             Whether the request may leave its engine.
         """
+        now = asyncio.get_running_loop().time()
+        if not relay.reply.begun and not current.engine.answers.may_send(now):
+            return await self._prepare_to_leave_silent(
+                call, relay, current, connection
+            )
         if not self._may_switch_engine(call, current.engine):
             return False
         self.switching[call.service] += 1
@@ -447,7 +473,7 @@
         now = asyncio.get_running_loop().time()
         if (
             relay.reply.begun
-            and not self.sender.is_silent(current.engine, now)
+            and current.engine.answers.may_send(now)
             and _is_full(selection.engine)
         ):
             # A stream that waits in a queue there may as well wait here.
@@ -463,6 +489,43 @@
         relay.left_selection = current
         return True
 
+    async def _prepare_to_leave_silent(
+        self,
+        call: call_lib.Call,
+        relay: "Relay",
+        current: engine_finder_lib.EngineSelection,
+        connection: connection_lib.Connection,
+    ) -> bool:
+        """Secures another engine for a request that is left unanswered.
+
+        Load pattern: an engine that holds many adapters answers nothing while
+        all places are in use. The request will not return to it, so one retry
+        is enough, from the budget of this node or of all nodes. The retry is
+        taken first: without one, no adapter is loaded for the request.
+
+        Returns:
+            Whether the request may leave its engine.
+        """
+        if not self._has_other_engine(call, current.engine):
+            return False
+        if not relay.retry_secured:
+            if not await call.acquire_retry(self.budget):
+                return False
+            relay.retry_secured = True
+        try:
+            selection = await self._find(
+                call, relay, absent_from="", unanswered=True
+            )
+        except errors.RequestRejectedError as error:
+            call.add_step(f"kept {current.engine.engine_id}: {error.reason}")
+            return False
+        if connection.readable:
+            return False
+        self._end_return_option(call, relay)
+        relay.retry_secured = False
+        relay.prepared_selection = selection
+        return True
+
 
 def _is_full(engine: engines_lib.Engine) -> bool:
     """Returns whether an engine queues further requests."""
@@ -518,6 +581,8 @@
             left, with its retry already taken.
         left_selection: the engine that was left although it had not failed;
             None once another engine has responded.
+        retry_secured: whether a retry has been taken for a request that its
+            engine leaves unanswered, and not been used yet.
         failure: the latest failure that an engine responded with, and its
             body, kept in case that no other engine responds.
         unfinished_events: what all streams buffer of unfinished events.
@@ -535,6 +600,7 @@
         self.last_event_id = call.request.resume_after
         self.prepared_selection: engine_finder_lib.EngineSelection | None = None
         self.left_selection: engine_finder_lib.EngineSelection | None = None
+        self.retry_secured = False
         self.failure: tuple[requests.ResponseHead, bytes] | None = None
 
     def take_prepared_selection(
