Requests wait a moment for a node's first configuration

Callers saw: after all hosts of a site had lost power, those who reached a node while it read its configuration got 503 with Retry-After 1 s and more, though the node served 10 to 40 ms later.

Cause: a node opens its port before it knows a configuration and rejected at once.

Change: such a request waits for the first configuration, 0.2 s at most, and is rejected as before after it.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
@@ -1,5 +1,6 @@
 """The configuration that is applied on this node."""
 
+import asyncio
 from typing import final
 
 from _dogwoodhinge import event_log
@@ -8,11 +9,17 @@
 
 @final
 class AppliedConfiguration:
-    """Applies only newer versions; a node never reverts to an older one."""
+    """Applies only newer versions; a node never reverts to an older one.
+
+    Attributes:
+        current: the applied configuration; None before the first one.
+        applied_first: set once there is one.
+    """
 
     def __init__(self, *, report: event_log.EventReporter) -> None:
         self.report = report
         self.current: models.Configuration | None = None
+        self.applied_first = asyncio.Event()
 
     def __call__(self) -> models.Configuration | None:
         """Returns the applied configuration, or None before the first one."""
@@ -27,6 +34,7 @@
             return False
         before = self.current.version if self.current else 0
         self.current = configuration
+        self.applied_first.set()
         self.report(
             "configuration_applied",
             {
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -30,6 +30,11 @@
 
 MAX_LOGGED_ERROR_LENGTH = 200
 
+# Requests wait this long for the first configuration. Callers of a host that
+# has just started connect while it is read, which takes some tens of
+# milliseconds.
+FIRST_CONFIGURATION_TIMEOUT = datetime.timedelta(milliseconds=200)
+
 NO_CONFIGURATION_RETRY_DELAY = datetime.timedelta(seconds=1)
 INTERNAL_ERROR_RETRY_DELAY = datetime.timedelta(seconds=1)
 
@@ -43,6 +48,8 @@
         begun: number of requests started, by adapter.
         running: requests in progress.
         timeouts: the timeouts of all requests in progress.
+        applied_first: set once there is a configuration; None to reject
+            requests before it at once.
         end_at: loop time by which new requests must end; one whose timeout is
             later is rejected.
     """
@@ -59,8 +66,10 @@
         request_metrics: request_metrics_lib.RequestMetrics,
         rng: random.Random,
         suspects: suspects_lib.Suspects,
+        applied_first: asyncio.Event | None = None,
     ) -> None:
         self.suspects = suspects
+        self.applied_first = applied_first
         self.codec = codec
         self.configuration = configuration
         self.plain = plain
@@ -98,7 +107,9 @@
             self.events.write("request_malformed", {"reason": str(error)})
             reply.answer(400, self.codec.node_response_headers(""))
             return
-        configuration = self.configuration()
+        configuration = (
+            self.configuration() or await self._first_configuration()
+        )
         if configuration is None:
             self._reject_unconfigured(request.request_id, reply)
             return
@@ -125,6 +136,24 @@
         )
         await self._serve(call, reply)
 
+    async def _first_configuration(self) -> models.Configuration | None:
+        """Waits a short time for the first configuration.
+
+        Load pattern: all hosts lose power and start again at once. Their
+        callers reconnect together; rejected, they would be away for longer
+        than the configuration takes to be read.
+        """
+        if self.applied_first is None:
+            return None
+        try:
+            async with asyncio.timeout(
+                FIRST_CONFIGURATION_TIMEOUT.total_seconds()
+            ):
+                await self.applied_first.wait()
+        except TimeoutError:
+            return None  # logged where the request is rejected
+        return self.configuration()
+
     def _reject_unconfigured(
         self, request_id: str, reply: server.Reply
     ) -> None:
