--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/applied.py
@@ -1,5 +1,6 @@
 """The configuration that is applied on this node."""
 
+import asyncio
 from typing import final
 
 from _dogwoodhinge import event_log
@@ -10,11 +11,17 @@
 
 @final
 class AppliedConfiguration:
-    """Applies only newer versions; a node never reverts to an older one."""
+    """Applies only newer versions; a node never reverts to an older one.
+
+    Attributes:
+        current: the applied configuration; None before the first one.
+        applied_first: set once there is one.
+    """
 
     def __init__(self, *, report: event_log.EventReporter) -> None:
         self.report = report
         self.current: models.Configuration | None = None
+        self.applied_first = asyncio.Event()
 
     def __call__(self) -> models.Configuration | None:
         """Returns the applied configuration, or None before the first one."""
@@ -38,6 +45,7 @@
                     "problems": configuration.problems[:MAX_NAMED_PROBLEMS],
                 },
             )
+        self.applied_first.set()
         self.report(
             "configuration_applied",
             {
