Quotas: what all hosts send for an organisation is bounded

Callers saw: an organisation's quota was not read, so one that sent several times its quota took the room of the others.

Cause: no host knew a quota, nor what the other hosts sent.

Change: the leader keeps one bucket an organisation (fleet/quota_ledger.py) and hosts spend credit out of it (gateway/quotas.py): topped up with each sync in proportion to what a host is asked, and by a call for a request that the credit does not cover. Credit that hosts hold counts as part of the bucket. Requests beyond it are answered 429 before they wait, with a spread Retry-After; a request that did not run gives its credit back. Without a leader a host spends its share of the rate, which the leader keeps free while the host is silent; a new leader begins with empty buckets. Without quotas nothing is sent or asked.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
@@ -1,11 +1,13 @@
 """Fakes of engines that take orders and of the row of the order lease."""
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import orders
+from _dogwoodhinge.fleet import quota_ledger
 from dogwoodhinge import errors
 
 
@@ -201,3 +203,25 @@
             return orders.OrderReply.ACCEPTED
         self.residents.discard(order.key)
         return orders.OrderReply.DONE
+
+
+class NoQuotas:
+    """Reports on no organisation."""
+
+    def report(self, now: float) -> list[quota_ledger.QuotaUse]:
+        """Returns nothing to report."""
+        return []
+
+    def restore(
+        self, organisations: Iterable[tuple[str, float]], now: float
+    ) -> None:
+        """Does nothing."""
+
+    def apply(
+        self,
+        grants: list[quota_ledger.QuotaGrant],
+        *,
+        began_at: float,
+        now: float,
+    ) -> None:
+        """Does nothing."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_grpc.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_grpc.py
@@ -30,6 +30,10 @@
     async def Pace(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.PaceRequest, _dogwoodhinge.fleet.fleet_pb2.PaceReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TakeQuota(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.QuotaCall, _dogwoodhinge.fleet.fleet_pb2.QuotaAnswer]') -> None:
+        pass
+
     @abc.abstractmethod
     async def RelayLease(self, stream: 'grpclib.server.Stream[_dogwoodhinge.fleet.fleet_pb2.LeaseCall, _dogwoodhinge.fleet.fleet_pb2.LeaseAnswer]') -> None:
         pass
@@ -60,6 +64,12 @@
                 _dogwoodhinge.fleet.fleet_pb2.PaceRequest,
                 _dogwoodhinge.fleet.fleet_pb2.PaceReply,
             ),
+            '/dogwoodhinge.fleet.Fleet/TakeQuota': grpclib.const.Handler(
+                self.TakeQuota,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                _dogwoodhinge.fleet.fleet_pb2.QuotaCall,
+                _dogwoodhinge.fleet.fleet_pb2.QuotaAnswer,
+            ),
             '/dogwoodhinge.fleet.Fleet/RelayLease': grpclib.const.Handler(
                 self.RelayLease,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -96,6 +106,12 @@
             _dogwoodhinge.fleet.fleet_pb2.PaceRequest,
             _dogwoodhinge.fleet.fleet_pb2.PaceReply,
         )
+        self.TakeQuota = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/dogwoodhinge.fleet.Fleet/TakeQuota',
+            _dogwoodhinge.fleet.fleet_pb2.QuotaCall,
+            _dogwoodhinge.fleet.fleet_pb2.QuotaAnswer,
+        )
         self.RelayLease = grpclib.client.UnaryUnaryMethod(
             channel,
             '/dogwoodhinge.fleet.Fleet/RelayLease',
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -16,6 +16,8 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import quota_ledger as quota_ledger_lib
+from _dogwoodhinge.fleet import quota_messages
 from _dogwoodhinge.fleet import table_updates as table_updates_lib
 from _dogwoodhinge.fleet import usage as usage_lib
 from _dogwoodhinge.quarantine import quarantine as quarantine_lib
@@ -33,6 +35,9 @@
 PaceStream: TypeAlias = grpc_server.Stream[
     fleet_pb2.PaceRequest, fleet_pb2.PaceReply
 ]
+QuotaStream: TypeAlias = grpc_server.Stream[
+    fleet_pb2.QuotaCall, fleet_pb2.QuotaAnswer
+]
 LeaseStream: TypeAlias = grpc_server.Stream[
     fleet_pb2.LeaseCall, fleet_pb2.LeaseAnswer
 ]
@@ -52,7 +57,9 @@
         updates: table_updates_lib.TableUpdates,
         announcements: announcements_lib.Announcements,
         quarantine: quarantine_lib.Quarantine,
+        quota_ledger: quota_ledger_lib.QuotaLedger,
     ) -> None:
+        self.quota_ledger = quota_ledger
         self.quarantine = quarantine
         self.leader = leader
         self.lease_table = lease_table
@@ -95,6 +102,15 @@
         if request is not None:
             await stream.send_message(self.reserve_prefill(request))
 
+    async def TakeQuota(
+        self,
+        stream: QuotaStream,
+    ) -> None:
+        """Handles a request for credit."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self.take_quota(request))
+
     async def RelayLease(
         self,
         stream: LeaseStream,
@@ -149,6 +165,31 @@
             return fleet_pb2.SecondSendReply(not_owner=True)
         return fleet_pb2.SecondSendReply(granted=granted)
 
+    def take_quota(self, request: fleet_pb2.QuotaCall) -> fleet_pb2.QuotaAnswer:
+        """Grants credit out of an organisation's quota."""
+        if not self.leader.lease.is_held_here:
+            return fleet_pb2.QuotaAnswer(not_owner=True)
+        (grant,) = self._grant_quotas(request.node, [request.use]) or (None,)
+        return fleet_pb2.QuotaAnswer(grant=grant)
+
+    def _grant_quotas(
+        self, node: str, uses: Iterable[fleet_pb2.QuotaUse]
+    ) -> list[fleet_pb2.QuotaGrant]:
+        now = asyncio.get_running_loop().time()
+        lease = self.leader.lease
+        self.quota_ledger.lead(lease.token, now, sole_leader=lease.may_order())
+        grants = (
+            self.quota_ledger.exchange(
+                node, quota_messages.decode_use(use), now
+            )
+            for use in uses
+        )
+        return [
+            quota_messages.encode_grant(grant)
+            for grant in grants
+            if grant is not None
+        ]
+
     def reserve_prefill(
         self, request: fleet_pb2.PaceRequest
     ) -> fleet_pb2.PaceReply:
@@ -224,6 +265,7 @@
             ),
             leaving=encode_leaving(self.leader.directory),
             quarantine=self.encode_quarantine(),
+            quotas=self._grant_quotas(request.node, request.quotas),
         )
 
     def record_leaving(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -19,12 +19,15 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import peer_channels
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import quota_ledger
+from _dogwoodhinge.fleet import quota_messages
 from _dogwoodhinge.fleet import table_updates as table_updates_lib
 
 # A call crosses one zone boundary and may wait in the placement queue, and then
 # for two orders to one engine.
 PLACEMENT_TIMEOUT = datetime.timedelta(milliseconds=900)
 SYNC_TIMEOUT = datetime.timedelta(milliseconds=400)
+QUOTA_TIMEOUT = datetime.timedelta(milliseconds=150)
 PACE_TIMEOUT = datetime.timedelta(milliseconds=100)
 
 # After the leader has rejected a retry or has not responded, no retries are
@@ -210,9 +213,44 @@
             raise leader_lib.NotLeaderError("the leader has changed")
         return reply.delay_ms / 1000
 
-    async def sync(self, request: fleet_pb2.SyncRequest) -> None:
+    async def exchange_quota(
+        self, use: quota_ledger.QuotaUse
+    ) -> quota_ledger.QuotaGrant | None:
+        """Requests credit for requests that wait for it.
+
+        Returns:
+            None if the leader knows no quota for the organisation.
+
+        Raises:
+            NotLeaderError: no leader is known, or the node called is not the
+                leader.
+            LeaderUnreachableError: the leader did not respond.
+        """
+        request = fleet_pb2.QuotaCall(
+            node=self.node, use=quota_messages.encode_use(use)
+        )
+        if self._is_local():
+            reply = self.local.take_quota(request)
+        else:
+            reply = await self._call(
+                lambda stub: stub.TakeQuota(request),
+                QUOTA_TIMEOUT,
+                keep_channel=True,
+            )
+        if reply.not_owner:
+            raise leader_lib.NotLeaderError("the leader has changed")
+        if not reply.HasField("grant"):
+            return None
+        return quota_messages.decode_grant(reply.grant)
+
+    async def sync(
+        self, request: fleet_pb2.SyncRequest
+    ) -> list[quota_ledger.QuotaGrant]:
         """Reports this node's use and applies the changes since the last sync.
 
+        Returns:
+            What the leader grants out of the organisations' quotas.
+
         Raises:
             NotLeaderError: the node called is not the leader.
             LeaderUnreachableError: the leader did not respond.
@@ -235,6 +273,7 @@
         if reply.not_owner:
             raise leader_lib.NotLeaderError("the leader has changed")
         self._apply(request, reply)
+        return [quota_messages.decode_grant(grant) for grant in reply.quotas]
 
     async def close(self) -> None:
         """Closes the connection to the leader."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -1,10 +1,10 @@
 """Syncs this node with the leader, or makes it the leader."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 import datetime
 import random
-from typing import final
+from typing import Protocol, final
 
 import mode
 
@@ -16,6 +16,8 @@
 from _dogwoodhinge.fleet import leader_client as leader_client_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease as order_lease_lib
+from _dogwoodhinge.fleet import quota_ledger
+from _dogwoodhinge.fleet import quota_messages
 from dogwoodhinge import errors
 
 # Several syncs fit into the time for which an adapter stays protected from
@@ -48,6 +50,27 @@
 RENEW_POLL_INTERVAL = datetime.timedelta(milliseconds=150)
 
 
+class QuotaReporter(Protocol):
+    """Reports on the organisations' quotas with each sync."""
+
+    def report(self, now: float) -> list[quota_ledger.QuotaUse]:
+        """Returns what to report and resets the demand."""
+
+    def restore(
+        self, organisations: Iterable[tuple[str, float]], now: float
+    ) -> None:
+        """Adds the demand of an undelivered report back."""
+
+    def apply(
+        self,
+        grants: list[quota_ledger.QuotaGrant],
+        *,
+        began_at: float,
+        now: float,
+    ) -> None:
+        """Adds what the leader granted to a report sent at `began_at`."""
+
+
 @final
 class UsageCounter:
     """Collects this node's use of adapters and engines for the leader.
@@ -62,7 +85,9 @@
         begun: dict[models.AdapterKey, int],
         requests: dict[str, int],
         directory: engines_lib.Directory,
+        quotas: QuotaReporter,
     ) -> None:
+        self.quotas = quotas
         self.active = active
         self.begun = begun
         self.requests = requests
@@ -98,9 +123,10 @@
                 fleet_pb2.ServiceUse(service=service, begun=count)
                 for service, count in requests.items()
             ],
+            quotas=map(quota_messages.encode_use, self.quotas.report(now)),
         )
 
-    def restore(self, request: fleet_pb2.SyncRequest) -> None:
+    def restore(self, request: fleet_pb2.SyncRequest, now: float) -> None:
         """Adds the counts of an undelivered report back."""
         for use in request.adapters:
             if use.begun:
@@ -109,6 +135,9 @@
         for service in request.services:
             count = self.requests.get(service.service, 0) + service.begun
             self.requests[service.service] = count
+        self.quotas.restore(
+            ((use.organisation, use.asked) for use in request.quotas), now
+        )
 
 
 @final
@@ -213,18 +242,23 @@
         if not self.leader_client.address():
             self.failures = FAILURES_BEFORE_LEASE_READ
             return
-        request = self.usage_counter.collect(asyncio.get_running_loop().time())
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        request = self.usage_counter.collect(began_at)
         try:
-            await self.leader_client.sync(request)
+            grants = await self.leader_client.sync(request)
         except leader_client_lib.LeaderUnreachableError as error:
-            self.usage_counter.restore(request)
+            self.usage_counter.restore(request, loop.time())
             self.failures += 1
             if self.failures == FAILURES_BEFORE_LEASE_READ:
                 self.report("owner_lost", {"reason": str(error)})
         except leader_lib.NotLeaderError:
-            self.usage_counter.restore(request)
+            self.usage_counter.restore(request, loop.time())
             self.failures = FAILURES_BEFORE_LEASE_READ
         else:
+            self.usage_counter.quotas.apply(
+                grants, began_at=began_at, now=loop.time()
+            )
             self.lease.observe_revision(self.leader_client.lease_revision)
             if self.failures >= FAILURES_BEFORE_LEASE_READ:
                 self.report("owner_reached", {"token": self.lease.token})
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -17,6 +17,7 @@
 from _dogwoodhinge.gateway import codec as codec_lib
 from _dogwoodhinge.gateway import errors
 from _dogwoodhinge.gateway import plain as plain_lib
+from _dogwoodhinge.gateway import quotas as quotas_lib
 from _dogwoodhinge.gateway import request_metrics as request_metrics_lib
 from _dogwoodhinge.gateway import requests as requests_lib
 from _dogwoodhinge.gateway import retry_budget as retry_budget_lib
@@ -63,7 +64,9 @@
         rng: random.Random,
         suspects: suspects_lib.Suspects,
         authenticator: authentication.Authenticator,
+        quotas: quotas_lib.Quotas,
     ) -> None:
+        self.quotas = quotas
         self.suspects = suspects
         self.authenticator = authenticator
         self.codec = codec
@@ -204,8 +207,21 @@
         self._record_start(key)
         self.running.add(call)
         outcome = "caller_left"
+        cost = 0.0
         try:
+            cost = await self._admit(call)
             outcome = await self._forward(call, reply)
+        except quotas_lib.QuotaExceededError as error:
+            outcome = self._refuse_over_quota(call, reply, error)
+        except quotas_lib.QuotaUnknownError:
+            outcome = self._reject(
+                call,
+                reply,
+                errors.RequestRejectedError(
+                    "quota_unknown",
+                    retry_after=quotas_lib.UNKNOWN_RETRY_AFTER,
+                ),
+            )
         except asyncio.CancelledError:
             if not reply.connection.lost.is_set():
                 outcome = "cut_off"
@@ -218,10 +234,35 @@
             call.add_step(f"error {text[:MAX_LOGGED_ERROR_LENGTH]}")
             raise
         finally:
+            if call.organisation is not None and _has_not_run(call, outcome):
+                self.quotas.give_back(call.organisation, cost)
             self.running.discard(call)
             self._record_end(key)
             self._log(call, reply, outcome)
 
+    async def _admit(self, call: call_lib.Call) -> float:
+        """Returns what the request costs of its organisation's quota."""
+        if call.organisation is None:
+            return 0.0
+        return await self.quotas.admit(
+            call.organisation, call.request.stated_tokens
+        )
+
+    def _refuse_over_quota(
+        self,
+        call: call_lib.Call,
+        reply: server.Reply,
+        error: quotas_lib.QuotaExceededError,
+    ) -> str:
+        wait = error.retry_after.total_seconds()
+        wait *= 1 + self.rng.random() * RETRY_JITTER
+        headers = self.codec.node_response_headers(
+            call.request.request_id, retry_after_seconds=wait
+        )
+        call.add_step(f"retry_after {wait:.2f}")
+        reply.answer(429, headers)
+        return "refused_quota"
+
     async def _forward(self, call: call_lib.Call, reply: server.Reply) -> str:
         timeout = asyncio.timeout_at(call.gateway_timeout_at)
         self.timeouts.add(timeout)
@@ -360,6 +401,11 @@
         if call.organisation is not None:
             fields["organisation"] = call.organisation_name
             fields["key"] = call.request.key_digest
+            fields.update(
+                self.quotas.log_fields(
+                    call.organisation_name, asyncio.get_running_loop().time()
+                )
+            )
         if call.request.adapter is not None:
             fields["parts"] = call.logged_parts
             fields["prompt_tokens"] = call.request.prompt_tokens
@@ -384,6 +430,11 @@
         self.events.write("request", fields)
 
 
+def _has_not_run(call: call_lib.Call, outcome: str) -> bool:
+    """Returns whether it is certain that no engine runs the request."""
+    return outcome.startswith("refused_") or not call.tried_engines
+
+
 def _identify(
     request: requests_lib.Request,
     configuration: models.Configuration,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -19,6 +19,8 @@
         adapter: the requested adapter or base model; None for plain services.
         prompt_tokens: number of tokens in the prompt.
         output_tokens: maximum number of tokens to generate.
+        stated_tokens: size of the request as the caller states it, for quotas;
+            None if it does not.
         shared_parts: ids of the parts of the prompt that other requests may
             share, in order: all but the last, which is the request's own.
         resume_after: id of the last event that the caller received, if it
@@ -42,6 +44,7 @@
     raw: server.RawRequest
     keys: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
     key_digest: str = ""
+    stated_tokens: int | None = None
     organisation: str | None = None
 
 
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -25,6 +25,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import quota_ledger
 from _dogwoodhinge.fleet import shared_retry_budget
 from _dogwoodhinge.fleet import table_updates
 from _dogwoodhinge.quarantine import quarantine
@@ -166,6 +167,12 @@
             report=lambda record, *, request_id: None,
             report_event=report,
         ),
+        quota_ledger.QuotaLedger(
+            configuration=lambda: CONFIGURATION,
+            bounds=lambda: quota_ledger.QuotaBounds(
+                window=datetime.timedelta(seconds=8)
+            ),
+        ),
     )
     client = leader_client.LeaderClient(
         node=f"{name}@127.0.0.1",
@@ -178,7 +185,11 @@
     begun: dict[models.AdapterKey, int] = {}
     requests: dict[str, int] = {}
     usage_counter = membership.UsageCounter(
-        active={}, begun=begun, requests=requests, directory=directory
+        active={},
+        begun=begun,
+        requests=requests,
+        directory=directory,
+        quotas=fleet_fakes.NoQuotas(),
     )
     member = membership.Membership(
         lease=lease,
@@ -533,12 +544,13 @@
         begun=begun,
         requests=requests,
         directory=engines.Directory(),
+        quotas=fleet_fakes.NoQuotas(),
     )
     request = counter.collect(0.0)
     assert (begun, requests) == ({}, {})
     begun[KEY] = 1
     requests["app"] = 2
-    counter.restore(request)
+    counter.restore(request, 0.0)
     assert (begun, requests) == ({KEY: 4}, {"app": 7})
 
 
@@ -685,3 +697,35 @@
         engine, now
     )
     assert found is expected
+
+
+async def test_nodes_draw_credit_from_the_leader(
+    node: Node, other: Node
+) -> None:
+    """A node asks the leader over the network, the leader asks itself."""
+    quota = models.Quota(
+        unit=models.QuotaUnit.REQUESTS, per_second=1_000, burst=1_000
+    )
+    configuration = dataclasses.replace(
+        CONFIGURATION,
+        organisations=(models.Organisation(name="acme", quota=quota),),
+    )
+    ledger = node.leader_client.local.quota_ledger
+    ledger.configuration = lambda: configuration
+    use = quota_ledger.QuotaUse(
+        organisation="acme", asked=5, held=0, wanted=5, request=1
+    )
+
+    async def granted(member: Node) -> bool:
+        try:
+            grant = await member.leader_client.exchange_quota(use)
+        except leader_lib.NotLeaderError:
+            return False
+        return grant is not None and grant.granted >= 5
+
+    async with asyncio.timeout(10):
+        for member in (node, other):
+            while not await granted(member):
+                await asyncio.sleep(0.05)
+    unknown = dataclasses.replace(use, organisation="umbra")
+    assert await other.leader_client.exchange_quota(unknown) is None
--- a/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
+++ b/packages/dogwoodhinge/testing/fleet/test_lease_relay.py
@@ -68,6 +68,11 @@
     ) -> None:
         """Not called in these tests."""
 
+    async def TakeQuota(  # noqa: N802
+        self, stream: grpc_server.Stream
+    ) -> None:
+        """Not called in these tests."""
+
     async def Pace(  # noqa: N802
         self, stream: grpc_server.Stream
     ) -> None:
--- a/packages/dogwoodhinge/testing/fleet/test_membership.py
+++ b/packages/dogwoodhinge/testing/fleet/test_membership.py
@@ -56,7 +56,11 @@
         lease=lease,
         leader_client=UnreachableLink(lease),  # type: ignore[arg-type]
         usage_counter=membership.UsageCounter(
-            active={}, begun={}, requests={}, directory=engines.Directory()
+            active={},
+            begun={},
+            requests={},
+            directory=engines.Directory(),
+            quotas=fleet_fakes.NoQuotas(),
         ),
         rng=random.Random(1),
         report=lambda event, fields: None,
