Large rows reach nodes that the store turns away

Callers saw: a host that the store turned away kept the configuration, and with it withdrawn keys, if the next one had more than 8 kB.

Cause: the leader sends larger rows to nobody, as hosts read them themselves.

Change: a host names the tables that it could not read at its last attempt; to it the leader sends up to 1 MB of their rows.

Tests: `large_rows_are_sent_to_nodes_that_cannot_read_the_store` failed before (the log had no such limit); test_leader.py, test_feeds.py: passed.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -261,7 +261,8 @@
             lease_revision=max(0, self.leader.lease.revision),
             may_order=self.leader.lease.may_order(),
             news=self._encode_updates(
-                {n.table: n.revision for n in request.known}
+                {n.table: n.revision for n in request.known},
+                unread=frozenset(request.unread),
             ),
             leaving=encode_leaving(self.leader.directory),
             quarantine=self.encode_quarantine(),
@@ -300,14 +301,19 @@
             self.quarantine.receive(row.key, row.value, write=write)
 
     def _encode_updates(
-        self, known: dict[str, int]
+        self, known: dict[str, int], *, unread: frozenset[str]
     ) -> list[fleet_pb2.TableNews]:
         now = asyncio.get_running_loop().time()
         encoded = []
         for table, state in self.updates.local_states.items():
             rows = None
             if table in known:
-                rows = self.updates.logs[table].since(known[table])
+                rows = self.updates.logs[table].since(
+                    known[table],
+                    max_bytes=table_updates_lib.MAX_UNREAD_BYTES
+                    if table in unread
+                    else table_updates_lib.MAX_UPDATE_BYTES,
+                )
             encoded.append(
                 fleet_pb2.TableNews(
                     table=table,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -260,6 +260,7 @@
         request.known_change = self.known_change
         request.leaving.extend(fleet_server.encode_leaving(self.directory))
         request.quarantine.extend(self.local.encode_quarantine())
+        request.unread.extend(self.local.updates.unread)
         request.known.extend(
             fleet_pb2.TableNews(table=table, revision=revision)
             for table, revision in self.local.updates.applied.items()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -30,6 +30,9 @@
 # have them within 50 ms. Nodes read larger updates from the store.
 MAX_UPDATE_BYTES = 8_000
 
+# The same for a node that can't read the store; there are few of them.
+MAX_UNREAD_BYTES = 1_000_000
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,17 +98,19 @@
         while len(self.rows) > MAX_ROWS:
             self.begin = self.rows.popleft().revision
 
-    def since(self, revision: int) -> list[Row] | None:
+    def since(
+        self, revision: int, *, max_bytes: int = MAX_UPDATE_BYTES
+    ) -> list[Row] | None:
         """Returns the rows after `revision`.
 
         Returns None if some are no longer in the log, or if they are larger
-        than `MAX_UPDATE_BYTES`.
+        than `max_bytes`.
         """
         if self.begin is None or revision < self.begin:
             return None
         rows = [row for row in self.rows if row.revision > revision]
         size = sum(len(row.key) + len(row.value or b"") for row in rows)
-        return rows if size <= MAX_UPDATE_BYTES else None
+        return rows if size <= max_bytes else None
 
 
 @final
@@ -117,6 +122,7 @@
         leader_states: by table, the state that the leader sent.
         applied: by table, the revision up to which this node has applied all
             relevant changes, from its own reads or from the leader.
+        unread: tables that this node could not read at its last attempt.
         confirmations: by table, the loop time at which it last missed none.
         row_handlers: by table, the callback that applies rows sent by the
             leader.
@@ -136,6 +142,7 @@
         self.local_states: dict[str, TableState] = {}
         self.leader_states: dict[str, TableState] = {}
         self.applied: dict[str, int] = {}
+        self.unread: set[str] = set()
         self.confirmations: dict[str, float] = {}
         self.logs: dict[str, RowLog] = {}
         self.row_handlers: dict[str, Callable[[list[Row]], None]] = {}
@@ -153,6 +160,7 @@
             rows: the relevant changed rows; None if they do not describe every
                 relevant change, so that other nodes have to read the table.
         """
+        self.unread.discard(table)
         known = self.local_states.get(table)
         self.applied[table] = max(revision, self.applied.get(table, 0))
         log = self.logs.setdefault(table, RowLog())
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -729,3 +729,23 @@
                 await asyncio.sleep(0.05)
     unknown = dataclasses.replace(use, organisation="umbra")
     assert await other.leader_client.exchange_quota(unknown) is None
+
+
+async def test_node_that_cannot_read_a_table_is_sent_its_large_rows(
+    node: Node,
+) -> None:
+    await wait_for_engine_state(node)
+    local = node.leader_client.local
+    now = asyncio.get_running_loop().time()
+    large = table_updates.Row(
+        "config", b"x" * (table_updates.MAX_UPDATE_BYTES + 1), 5
+    )
+    local.updates.record_read("op", 4, now, rows=None)
+    local.updates.record_read("op", 5, now, rows=[large])
+    known = [fleet_pb2.TableNews(table="op", revision=4)]
+    replies = [
+        local.sync(fleet_pb2.SyncRequest(node="n3", known=known, unread=unread))
+        for unread in ([], ["op"])
+    ]
+    sent = [[len(row.value) for row in reply.news[0].rows] for reply in replies]
+    assert sent == [[], [len(large.value or b"")]]
--- a/packages/dogwoodhinge/testing/fleet/test_table_updates.py
+++ b/packages/dogwoodhinge/testing/fleet/test_table_updates.py
@@ -173,3 +173,16 @@
     assert known.confirmed_at(TABLE) == 3.0
     known.apply_update(TABLE, 6, 5.0, [row("e1", 6)])
     assert known.confirmed_at(TABLE) == 5.0
+
+
+def test_large_rows_are_sent_to_nodes_that_cannot_read_the_store() -> None:
+    """A node that the store turned away kept keys that were withdrawn."""
+    log = table_updates.RowLog()
+    log.restart(4)
+    large = row("config", 5, size=table_updates.MAX_UPDATE_BYTES + 1)
+    log.add([large])
+    assert log.since(4) is None
+    assert log.since(4, max_bytes=table_updates.MAX_UNREAD_BYTES) == [large]
+    huge = row("config", 6, size=table_updates.MAX_UNREAD_BYTES + 1)
+    log.add([huge])
+    assert log.since(4, max_bytes=table_updates.MAX_UNREAD_BYTES) is None
