--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -25,6 +25,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import quota_ledger
 from _dogwoodhinge.fleet import shared_retry_budget
 from _dogwoodhinge.fleet import table_updates
 from _dogwoodhinge.quarantine import quarantine
@@ -166,6 +167,12 @@
             report=lambda record, *, request_id: None,
             report_event=report,
         ),
+        quota_ledger.QuotaLedger(
+            configuration=lambda: CONFIGURATION,
+            bounds=lambda: quota_ledger.QuotaBounds(
+                window=datetime.timedelta(seconds=8)
+            ),
+        ),
     )
     client = leader_client.LeaderClient(
         node=f"{name}@127.0.0.1",
@@ -178,7 +185,11 @@
     begun: dict[models.AdapterKey, int] = {}
     requests: dict[str, int] = {}
     usage_counter = membership.UsageCounter(
-        active={}, begun=begun, requests=requests, directory=directory
+        active={},
+        begun=begun,
+        requests=requests,
+        directory=directory,
+        quotas=fleet_fakes.NoQuotas(),
     )
     member = membership.Membership(
         lease=lease,
@@ -533,12 +544,13 @@
         begun=begun,
         requests=requests,
         directory=engines.Directory(),
+        quotas=fleet_fakes.NoQuotas(),
     )
     request = counter.collect(0.0)
     assert (begun, requests) == ({}, {})
     begun[KEY] = 1
     requests["app"] = 2
-    counter.restore(request)
+    counter.restore(request, 0.0)
     assert (begun, requests) == ({KEY: 4}, {"app": 7})
 
 
@@ -728,3 +740,55 @@
     assert {type(result) for result in results} == {
         placement_queue.NoFreeSlotError
     }
+
+
+async def test_nodes_draw_credit_from_the_leader(
+    node: Node, other: Node
+) -> None:
+    """A node asks the leader over the network, the leader asks itself."""
+    quota = models.Quota(
+        unit=models.QuotaUnit.REQUESTS, per_second=1_000, burst=1_000
+    )
+    configuration = dataclasses.replace(
+        CONFIGURATION,
+        organisations=(models.Organisation(name="acme", quota=quota),),
+    )
+    ledger = node.leader_client.local.quota_ledger
+    ledger.configuration = lambda: configuration
+    use = quota_ledger.QuotaUse(
+        organisation="acme", asked=5, held=0, wanted=5, request=1
+    )
+
+    async def granted(member: Node) -> bool:
+        try:
+            grant = await member.leader_client.exchange_quota(use)
+        except leader_lib.NotLeaderError:
+            return False
+        return grant is not None and grant.granted >= 5
+
+    async with asyncio.timeout(10):
+        for member in (node, other):
+            while not await granted(member):
+                await asyncio.sleep(0.05)
+    unknown = dataclasses.replace(use, organisation="umbra")
+    assert await other.leader_client.exchange_quota(unknown) is None
+
+
+async def test_node_that_cannot_read_a_table_is_sent_its_large_rows(
+    node: Node,
+) -> None:
+    await wait_for_engine_state(node)
+    local = node.leader_client.local
+    now = asyncio.get_running_loop().time()
+    large = table_updates.Row(
+        "config", b"x" * (table_updates.MAX_UPDATE_BYTES + 1), 5
+    )
+    local.updates.record_read("op", 4, now, rows=None)
+    local.updates.record_read("op", 5, now, rows=[large])
+    known = [fleet_pb2.TableNews(table="op", revision=4)]
+    replies = [
+        local.sync(fleet_pb2.SyncRequest(node="n3", known=known, unread=unread))
+        for unread in ([], ["op"])
+    ]
+    sent = [[len(row.value) for row in reply.news[0].rows] for reply in replies]
+    assert sent == [[], [len(large.value or b"")]]
