Waiting requests are ordered by rank; hopeless ones are rejected while they wait

Deferrable requests have more time left, and the order of the queue was by time left alone; the priority at the engine followed the prompt's size alone. Requests were rejected after up to a second in the queue.

Change: fleet.wait_order orders by whether a request can be on time, whether it is deferrable, and its rank; a rank that is served much less than all goes first. gateway.dispatch_priority (moved from streams) gives each rank a band of priorities; with one rank all values are as before. The queue estimates the room that is left for late and for deferrable requests and rejects those that it does not last for, also while they wait; the rate is known after 0.25 s, not 1 s.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/replay.py
@@ -16,6 +16,7 @@
 import sys
 from typing import final
 
+from _dogwoodhinge.fleet import wait_order
 from _dogwoodhinge.fleet import wait_queue
 from dogwoodhinge_lab import replay_patterns as patterns
 from dogwoodhinge_lab import replay_ways as ways
@@ -69,7 +70,7 @@
     events: list[tuple[float, int, Callable[[float], None]]] = []
     free_at = [0.0] * ways.ENGINES
     line = wait_queue.WaitQueue()
-    waiters: dict[wait_queue.Waiter, patterns.Arrival] = {}
+    waiters: dict[wait_order.Waiter, patterns.Arrival] = {}
 
     def at(time: float, step: Callable[[float], None]) -> None:
         heapq.heappush(events, (time, next(order), step))
@@ -103,7 +104,7 @@
             result.refused += 1
 
     def join(request: patterns.Arrival, now: float) -> None:
-        waiter = wait_queue.Waiter(
+        waiter = wait_order.Waiter(
             request.at + TARGET_SECONDS,
             request.at + ASK_AGAIN_SECONDS * MAX_ASKS,
         )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -151,7 +151,7 @@
         if isinstance(result, adapter_slots_lib.NoFreeSlot):
             return await self._wait(request)
         if result.new:
-            self.placement_queue.record_assignment()
+            self.placement_queue.record_assignment(request)
         if result.new or not result.ordered:
             return await asyncio.shield(self._load_of(result, request))
         return result
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
@@ -208,6 +208,21 @@
     limits: CallerLimits
     organisations: tuple[Organisation, ...] | None = None
 
+    @property
+    def ranks(self) -> tuple[int, ...]:
+        """Ranks that streaming requests may have, in ascending order."""
+        ranks = {
+            route.priority
+            for route in self.routes
+            if route.kind is RequestKind.STREAMING
+        }
+        ranks.update(
+            organisation.priority
+            for organisation in self.organisations or ()
+            if organisation.priority is not None
+        )
+        return tuple(sorted(ranks))
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of `host` with the longest prefix of `path`."""
         best: Route | None = None
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
+from _dogwoodhinge.fleet import wait_order
 from _dogwoodhinge.fleet import wait_queue
 from dogwoodhinge import errors
 
@@ -64,7 +65,7 @@
         self.rng = rng
         self.queue = wait_queue.WaitQueue()
         self.queued_requests: dict[
-            wait_queue.Waiter,
+            wait_order.Waiter,
             tuple[
                 adapter_slots_lib.PlacementRequest,
                 asyncio.Future[adapter_slots_lib.Assignment],
@@ -88,15 +89,18 @@
         """
         loop = asyncio.get_running_loop()
         now = loop.time()
-        waiter = wait_queue.Waiter(
-            now + request.seconds_to_target, now + request.max_wait_seconds
+        waiter = wait_order.Waiter(
+            now + request.seconds_to_target,
+            now + request.max_wait_seconds,
+            rank=request.rank,
         )
-        if self.queue.will_time_out(waiter, now, lead_time=self.lead_time(now)):
-            raise self._rejection(now)
+        lead_time = self.lead_time(now)
+        if self.queue.will_time_out(waiter, now, lead_time=lead_time):
+            raise self._reject(waiter, now)
         future: asyncio.Future[adapter_slots_lib.Assignment] = (
             loop.create_future()
         )
-        self.queue.join(waiter, now)
+        self.queue.join(waiter, now, lead_time=lead_time)
         self.queued_requests[waiter] = (request, future)
         self._start_serving()
         wait = min(waiter.wait_until - now, REPLY_TIMEOUT.total_seconds())
@@ -104,22 +108,31 @@
             await asyncio.wait({future}, timeout=wait)
             if waiter in self.queued_requests:
                 now = loop.time()
-                raise self._rejection(now, final=now >= waiter.wait_until)
+                if now >= waiter.wait_until:
+                    raise self._reject(waiter, now)
+                raise self._rejection(now, final=False)
             # Its load is in flight, or has finished.
             return await future
         finally:
             self._remove(waiter)
             future.cancel()
 
-    def record_assignment(self) -> None:
+    def record_assignment(
+        self, request: adapter_slots_lib.PlacementRequest
+    ) -> None:
         """Records that a slot was assigned without queueing."""
-        self.queue.record_assignment(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.queue.record_assignment(now, rank=request.rank)
+
+    def _reject(self, waiter: wait_order.Waiter, now: float) -> NoFreeSlotError:
+        self.queue.record_rejection(now, rank=waiter.rank)
+        return self._rejection(now, final=True)
 
-    def _rejection(self, now: float, *, final: bool = True) -> NoFreeSlotError:
+    def _rejection(self, now: float, *, final: bool) -> NoFreeSlotError:
         seconds = self.queue.retry_delay_seconds(now, self.rng.random())
         return NoFreeSlotError(datetime.timedelta(seconds=seconds), final=final)
 
-    def _remove(self, waiter: wait_queue.Waiter) -> None:
+    def _remove(self, waiter: wait_order.Waiter) -> None:
         self.queue.leave(waiter)
         self.queued_requests.pop(waiter, None)
 
@@ -139,7 +152,8 @@
         may use the same engines would find none either and are skipped.
         """
         exhausted: set[tuple[str, frozenset[str]]] = set()
-        for waiter in self.queue.in_order(now, lead_time=self.lead_time(now)):
+        lead_time = self.lead_time(now)
+        for waiter in self.queue.in_order(now, lead_time=lead_time):
             request, future = self.queued_requests[waiter]
             eligibility = (request.key.model, request.avoid)
             if eligibility in exhausted:
@@ -150,11 +164,20 @@
                 continue
             self._remove(waiter)
             if found.new:
-                self.queue.record_assignment(now)
+                self.queue.record_assignment(now, rank=request.rank)
             if found.new or not found.ordered:
                 self._await_load(found, request, future)
             elif not future.done():
                 future.set_result(found)
+        self._reject_hopeless(now, lead_time)
+
+    def _reject_hopeless(self, now: float, lead_time: float) -> None:
+        """Rejects the requests that cannot be served in time any more."""
+        for waiter in self.queue.find_hopeless(now, lead_time=lead_time):
+            _, future = self.queued_requests[waiter]
+            if not future.done():
+                future.set_exception(self._reject(waiter, now))
+            self._remove(waiter)
 
     def _await_load(
         self,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
@@ -1,34 +1,34 @@
-"""Orders the requests that wait for an adapter slot, and rejects some early.
+"""The requests that wait for an adapter slot, and whom to reject early.
 
 Load pattern: peak load while engines are down. Adapter slots are requested
 faster than they become free, and without an order a request that keeps
-retrying may be served last.
-
-Requests whose first event can still meet the latency target come first, the one
-with the most time left before the others: if each got its slot at the last
-moment, none would meet its target at peak load. Late requests follow, ordered
-by how long they may keep waiting. A request that cannot be served in time at
-the recent assignment rate is rejected at once, with the time in which the queue
-should drain.
+retrying may be served last; see `wait_order`.
+
+A request that cannot be served in time with the room that is left to it is
+rejected at once, on arrival or while it waits, with the time in which the queue
+should drain. The room is the recent rate of slot assignments; what is left of
+it to a request that gives way is what those before it have not asked for.
 """
 
 import collections
-import dataclasses
+from collections.abc import Iterable
 from typing import final
 
+from _dogwoodhinge.fleet import wait_order
+
 # Slots become free some tens of times a second at peak load, so one second
 # gives the rate within a few percent and still follows engines that join or
 # leave.
 RATE_WINDOW_SECONDS = 1.0
 
+# The rate is known once requests have waited for this long without a break: a
+# shorter time gives it too inexactly.
+MIN_RATE_WINDOW_SECONDS = 0.25
+
 # Rate assumed without recent assignments: a single engine that serves requests
 # of a few seconds each frees several slots a second.
 MIN_ASSIGNMENTS_PER_SECOND = 4.0
 
-# Time for which a prompt waits behind the prefill of others, in addition to the
-# adapter load and its own prefill; most wait less than this at peak load.
-PREFILL_WAIT_SECONDS = 0.05
-
 # A whole request takes about a second at peak load, so a slot that becomes free
 # sooner is of use only to clients that retry soon.
 MIN_RETRY_SECONDS = 0.1
@@ -40,43 +40,50 @@
 
 
 @final
-@dataclasses.dataclass(eq=False, slots=True)
-class Waiter:
-    """A request in the wait queue; times are loop times.
+class WaitQueue:
+    """The waiting requests and the recent rate of slot assignments.
 
     Attributes:
-        target_at: latest time at which its first event meets the target.
-        wait_until: latest time until which it may wait for a slot.
+        waiters: the waiting requests.
+        assigned_at: loop times of the recent slot assignments.
+        asked: loop time and rank of the requests that have recently joined
+            and could be on time.
+        nonempty_since: loop time from which requests have waited without a
+            break; None while none waits.
+        shares: which part of the requests of each rank is served.
     """
 
-    target_at: float
-    wait_until: float
-
-
-@final
-class WaitQueue:
-    """The waiting requests and the recent rate of slot assignments."""
-
     def __init__(self) -> None:
-        self.waiters: set[Waiter] = set()
+        self.waiters: set[wait_order.Waiter] = set()
         self.assigned_at: collections.deque[float] = collections.deque()
+        self.asked: collections.deque[tuple[float, int]] = collections.deque()
         self.nonempty_since: float | None = None
+        self.shares = wait_order.ServedShares()
 
-    def join(self, waiter: Waiter, now: float) -> None:
+    def join(
+        self, waiter: wait_order.Waiter, now: float, *, lead_time: float = 0.0
+    ) -> None:
         """Adds a waiter."""
         if not self.waiters:
             self.nonempty_since = now
         self.waiters.add(waiter)
+        if not wait_order.is_late(waiter, now, lead_time=lead_time):
+            self.asked.append((now, waiter.rank))
 
-    def leave(self, waiter: Waiter) -> None:
+    def leave(self, waiter: wait_order.Waiter) -> None:
         """Removes a waiter, whether it was served or not."""
         self.waiters.discard(waiter)
         if not self.waiters:
             self.nonempty_since = None
 
-    def record_assignment(self, now: float) -> None:
+    def record_assignment(self, now: float, *, rank: int = 0) -> None:
         """Records that a slot was assigned."""
         self.assigned_at.append(now)
+        self.shares.record(rank, now, served=True)
+
+    def record_rejection(self, now: float, *, rank: int = 0) -> None:
+        """Records that a request was rejected for good."""
+        self.shares.record(rank, now, served=False)
 
     def assignment_rate(self, now: float) -> float:
         """Returns the recent number of slot assignments per second."""
@@ -89,38 +96,52 @@
             len(self.assigned_at) / RATE_WINDOW_SECONDS,
         )
 
-    def in_order(self, now: float, *, lead_time: float) -> list[Waiter]:
+    def in_order(
+        self, now: float, *, lead_time: float
+    ) -> list[wait_order.Waiter]:
         """Returns the waiters in the order in which they are served.
 
         Args:
             now: loop time.
             lead_time: seconds from a slot's assignment to the first event.
         """
-        return sorted(self.waiters, key=lambda w: _rank(w, now, lead_time))
+        return self._in_order(self.waiters, now, lead_time)
 
     def will_time_out(
-        self, waiter: Waiter, now: float, *, lead_time: float
+        self, waiter: wait_order.Waiter, now: float, *, lead_time: float
     ) -> bool:
-        """Returns whether a waiter cannot be served before it has to leave.
+        """Returns whether a new waiter cannot be served before it must leave.
 
-        The assignment rate is ignored until the queue has been non-empty for
-        a full rate window.
+        The assignment rate is ignored until requests have waited for some
+        time.
         """
         if now >= waiter.wait_until:
             return True
-        since = self.nonempty_since
-        if since is None or now - since < RATE_WINDOW_SECONDS:
+        if not self._knows_rate(now):
             return False
-        rank = _rank(waiter, now, lead_time)
-        ahead = sum(_rank(w, now, lead_time) < rank for w in self.waiters)
-        starts_at = now + ahead / self.assignment_rate(now)
+        order = self._in_order({*self.waiters, waiter}, now, lead_time)
+        if waiter in self._without_room(order, now, lead_time):
+            return True
+        rate = self.assignment_rate(now)
+        starts_at = now + order.index(waiter) / rate
         if starts_at <= waiter.target_at - lead_time:
             return False
         # It will be late, so all waiters that can be on time overtake it.
-        return (
-            now + len(self.waiters) / self.assignment_rate(now)
-            > waiter.wait_until
-        )
+        return now + len(self.waiters) / rate > waiter.wait_until
+
+    def find_hopeless(
+        self, now: float, *, lead_time: float
+    ) -> list[wait_order.Waiter]:
+        """Returns the waiters that cannot be served before they must leave.
+
+        Args:
+            now: loop time.
+            lead_time: seconds from a slot's assignment to the first event.
+        """
+        if not self._knows_rate(now):
+            return []
+        order = self.in_order(now, lead_time=lead_time)
+        return self._without_room(order, now, lead_time)
 
     def retry_delay_seconds(self, now: float, jitter: float) -> float:
         """Returns the seconds after which a rejected request should retry.
@@ -133,7 +154,49 @@
         seconds *= 1 + RETRY_JITTER * jitter
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds))
 
+    def _in_order(
+        self,
+        waiters: Iterable[wait_order.Waiter],
+        now: float,
+        lead_time: float,
+    ) -> list[wait_order.Waiter]:
+        return wait_order.in_order(
+            waiters,
+            now,
+            lead_time=lead_time,
+            ranks_behind=self.shares.ranks_behind(now),
+        )
 
-def _rank(waiter: Waiter, now: float, lead_time: float) -> tuple[bool, float]:
-    late = now + lead_time + PREFILL_WAIT_SECONDS > waiter.target_at
-    return late, waiter.wait_until if late else -waiter.target_at
+    def _knows_rate(self, now: float) -> bool:
+        since = self.nonempty_since
+        return since is not None and now - since >= MIN_RATE_WINDOW_SECONDS
+
+    def _without_room(
+        self,
+        order: list[wait_order.Waiter],
+        now: float,
+        lead_time: float,
+    ) -> list[wait_order.Waiter]:
+        """Returns the waiters that those before them leave too little room.
+
+        Requests that can still be on time go before late ones; those that are
+        more urgent go before all. Their recent number is expected to go on.
+        """
+        rate = self.assignment_rate(now)
+        while self.asked and now - self.asked[0][0] > RATE_WINDOW_SECONDS:
+            self.asked.popleft()
+        asked = collections.Counter(rank for _, rank in self.asked)
+        without_room: list[wait_order.Waiter] = []
+        for ahead, waiter in enumerate(order):
+            if wait_order.is_late(waiter, now, lead_time=lead_time):
+                before = asked.total()
+            else:
+                before = sum(
+                    count for rank, count in asked.items() if rank < waiter.rank
+                )
+            room = max(
+                MIN_ASSIGNMENTS_PER_SECOND, rate - before / RATE_WINDOW_SECONDS
+            )
+            if now + (ahead - len(without_room)) / room > waiter.wait_until:
+                without_room.append(waiter)
+        return without_room
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -1,6 +1,7 @@
 """State of one caller's request while this node forwards it."""
 
 import asyncio
+from collections.abc import Sequence
 import datetime
 import functools
 from typing import final
@@ -37,6 +38,8 @@
     Attributes:
         organisation: the organisation that the caller belongs to; None if the
             configuration or the route asks for no key.
+        ranks: the ranks that requests of the configuration in force may have,
+            in ascending order.
         deadline: loop time at which the timeout of the caller or of the
             route expires, whichever is earlier.
         tried_engines: engines that the request was sent to, in order.
@@ -71,9 +74,11 @@
         service: str,
         config_version: int,
         organisation: models.Organisation | None = None,
+        ranks: Sequence[int] = (),
     ) -> None:
         self.request = request
         self.organisation = organisation
+        self.ranks = ranks
         self.route = route
         self.service = service
         self.config_version = config_version
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -122,6 +122,7 @@
             route=route,
             service=self._pick_service(route),
             config_version=configuration.version,
+            ranks=configuration.ranks,
         )
         await self._serve(call, reply)
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -18,6 +18,7 @@
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.gateway import call as call_lib
+from _dogwoodhinge.gateway import dispatch_priority
 from _dogwoodhinge.gateway import engine_finder as engine_finder_lib
 from _dogwoodhinge.gateway import errors
 from _dogwoodhinge.gateway import plain
@@ -37,22 +38,11 @@
 # milliseconds.
 STREAM_PAUSE_TIMEOUT = datetime.timedelta(milliseconds=1_100)
 
-# Maximum prompt tokens of each priority, starting at FIRST_PRIORITY. The
-# largest prompt of a priority takes about four times as long to read as the
-# largest of the previous one.
-FIRST_PRIORITY = 2
-PRIORITY_MAX_PROMPT_TOKENS = (700, 2_800, 11_000)
-
-# A request with a prompt up to this size gets a higher priority once less than
-# this time is left to its latency target. A request that waited for its adapter
-# has then used about half of the usual target of 0.5 s.
-PRIORITY_BOOST_SECONDS = 0.3
-PRIORITY_BOOST_MAX_TOKENS = 2_800
-
 # An interrupted stream waits this long for an adapter slot and is placed before
 # all requests that have not started: callers disconnect two seconds after the
 # last event.
 RESUME_TIMEOUT = datetime.timedelta(milliseconds=900)
+HIGHEST_RANK = 0
 
 # Retries that are reserved before an engine that does not respond is left, to
 # return to it if the next engine does not run the request.
@@ -230,7 +220,7 @@
             pause_wait_until=wait_until
             if relay.reply.begun
             else call.pause_wait_until,
-            rank=call.rank,
+            rank=HIGHEST_RANK if relay.reply.begun else call.rank,
             organisation=call.organisation_name,
         )
 
@@ -344,9 +334,11 @@
                 requests.DispatchParameters(
                     engine_id=engine.engine_id,
                     wait_seconds=max(0.001, call.time_left()),
-                    priority=priority(
+                    priority=dispatch_priority.priority(
                         call.request.prompt_tokens,
                         time_to_target=call.time_to_target(),
+                        rank=call.rank,
+                        ranks=call.ranks,
                     ),
                     adapter_version=selection.version,
                     resume_after=relay.last_event_id,
@@ -469,30 +461,6 @@
     return engine_selection.load(engine.work, engine.entry.slots) >= 1
 
 
-def priority(prompt_tokens: int, *, time_to_target: float) -> int:
-    """Returns the priority of a request on its engine.
-
-    A short prompt that is read first delays a long one by milliseconds; behind
-    a long one it may miss its latency target. A request that has waited for
-    its adapter is admitted before those that have just arrived.
-
-    Args:
-        prompt_tokens: number of tokens in the prompt.
-        time_to_target: seconds until the latency target is missed.
-    """
-    if (
-        0 < time_to_target < PRIORITY_BOOST_SECONDS
-        and prompt_tokens <= PRIORITY_BOOST_MAX_TOKENS
-    ):
-        return FIRST_PRIORITY - 1
-    for level, token_limit in enumerate(
-        PRIORITY_MAX_PROMPT_TOKENS, start=FIRST_PRIORITY
-    ):
-        if prompt_tokens <= token_limit:
-            return level
-    return FIRST_PRIORITY + len(PRIORITY_MAX_PROMPT_TOKENS)
-
-
 @final
 class UnreadPrompt:
     """Counts a prompt as unread until its engine responds."""
