Placement requests ask an engine once in 20 ms whether it has room

Callers saw: nothing yet; found while reading the logs of the crest. With 100 requests waiting, each with its own set of engines to avoid, one pass over them looked at all adapters of 28 engines up to 100 times, every 20 ms.

Change: an engine's answer to whether it can take one more adapter is kept for 20 ms, as long as the free slot or the evictable adapter is still there; the list of candidates of the leader likewise.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/adapter_slots.py
@@ -72,6 +72,22 @@
         )
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opening:
+    """Where an engine can take one more adapter.
+
+    Attributes:
+        found_at: loop time at which this was found.
+        victim: the adapter that makes way; None if a slot is free.
+        is_open: whether the engine can take one.
+    """
+
+    found_at: float
+    victim: models.AdapterKey | None = None
+    is_open: bool = False
+
+
 @final
 class EngineSlots:
     """The adapter slots of one engine.
@@ -84,6 +100,8 @@
             time and prompt tokens of each.
         in_memory: adapters that the engine is assumed to keep in host memory,
             the least recently loaded one first.
+        opening: the latest answer to whether it can take one more adapter;
+            None once it no longer holds.
     """
 
     def __init__(self, engine_id: str, *, capacity: int) -> None:
@@ -96,6 +114,7 @@
         self.in_memory: collections.OrderedDict[models.AdapterKey, None] = (
             collections.OrderedDict()
         )
+        self.opening: Opening | None = None
 
     def unreported_work(self, now: float) -> engines_lib.Work:
         """Returns the work of assignments that no node has reported yet."""
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -44,6 +44,9 @@
 # Between two attempts to read the state of an engine that does not respond.
 STATE_READ_RETRY_DELAY = datetime.timedelta(milliseconds=500)
 
+# Hundreds of placement requests a second ask for the same engines.
+CANDIDATES_LIFETIME = datetime.timedelta(milliseconds=20)
+
 # Rejected placement requests come in bursts; one log line covers all of them
 # within this time.
 REJECTION_LOG_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -72,9 +75,8 @@
         loads: load orders in flight, by engine and adapter.
         rejected: placement requests rejected since the last log line.
         prefill_schedule: when each engine may get its next prompt.
-        candidates: engines that may load adapters of a model, in one pass over
-            the waiting requests.
-        candidates_of: the model, and the loop time of the pass.
+        candidates: engines that may load adapters of a model.
+        candidates_of: the model, and the loop time at which they were found.
     """
 
     def __init__(
@@ -159,9 +161,12 @@
     def _find(
         self, request: adapter_slots_lib.PlacementRequest, now: float
     ) -> adapter_slots_lib.Assignment | adapter_slots_lib.NoFreeSlot:
-        pass_key = (request.key.model, now)
-        if self.candidates_of != pass_key:
-            self.candidates_of = pass_key
+        model, found_at = self.candidates_of
+        if (
+            model != request.key.model
+            or now - found_at >= CANDIDATES_LIFETIME.total_seconds()
+        ):
+            self.candidates_of = request.key.model, now
             self.candidates = self._candidates(request.key.model, now)
         found = self.placement.find(
             request.key,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -14,7 +14,6 @@
 import collections
 from collections.abc import Collection, Iterable, Mapping
 import itertools
-import math
 from typing import final
 
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
@@ -60,6 +59,11 @@
 # requested about twice within the half-life of the scores.
 POPULAR_SCORE = 1.5
 
+# For this time, an engine's answer to whether it can take one more adapter is
+# used again: requests that wait ask each engine several thousand times a second
+# at peak load.
+OPENING_LIFETIME_SECONDS = 0.02
+
 # Nodes poll several times a second; one that has missed more changes than this
 # reads all slots instead.
 MAX_CHANGES = 2_000
@@ -100,9 +104,6 @@
         last_change: sequence number of the latest change.
         last_reservation: number of the latest reservation.
         newest: newest declared version, by adapter.
-        victims: what would be evicted next, by engine, at `victims_at`: one
-            pass over the waiting requests asks for each engine many times.
-        victims_at: loop time of that pass.
     """
 
     def __init__(self) -> None:
@@ -119,8 +120,6 @@
         self.last_change = 0
         self.last_reservation = 0
         self.newest: dict[models.AdapterKey, int] = {}
-        self.victims: dict[str, models.AdapterKey | None] = {}
-        self.victims_at = -math.inf
 
     def declare(self, key: models.AdapterKey, version: int) -> None:
         """Records a newer version; weights in host memory are now outdated."""
@@ -441,6 +440,7 @@
             engine.adapter_slots[key] = adapter_slots_lib.AdapterSlot(
                 0, adapter_slots_lib.SlotState.UNLOADING, now, now
             )
+            engine.opening = None
 
     def has_unsettled_slots(self, engine_id: str, before: float) -> bool:
         """Returns whether a slot became unsettled before a loop time."""
@@ -663,47 +663,83 @@
         | None
     ):
         engine = self.engines.get(candidate.engine_id)
-        if engine is None or engine.loading(now) >= MAX_LOADS_IN_FLIGHT:
+        if engine is None:
             return None
-        cost = self._load(candidate, now) + candidate.penalty
-        if key not in engine.in_memory:
-            cost += STORE_LOAD_COST
         outdated = engine.adapter_slots.get(key)
-        fillable = candidate.capacity - candidate.kept_free
-        if len(engine.adapter_slots) < fillable and outdated is None:
-            return cost, candidate, None
-        if engine.has_waiting_unload:
-            return None  # it rejects further unloads
         if outdated is not None:
             # An older version is evicted, and the newer one takes its slot.
-            if not self._is_evictable(key, outdated, now):
+            if (
+                engine.loading(now) >= MAX_LOADS_IN_FLIGHT
+                or engine.has_waiting_unload
+                or not self._is_evictable(key, outdated, now)
+            ):
                 return None
-            return cost, candidate, key
-        if len(engine.adapter_slots) > candidate.capacity:
-            return None
-        victim = self._next_victim(engine, now)
-        if victim is None:
-            return None
-        cost += EVICTION_COST * self.popularity.score(victim, now)
+            victim: models.AdapterKey | None = key
+        else:
+            opening = self._opening(engine, candidate, now)
+            if not opening.is_open:
+                return None
+            victim = opening.victim
+        cost = self._load(candidate, now) + candidate.penalty
+        if key not in engine.in_memory:
+            cost += STORE_LOAD_COST
+        if victim is not None and outdated is None:
+            cost += EVICTION_COST * self.popularity.score(victim, now)
         return cost, candidate, victim
 
-    def _next_victim(
-        self, engine: adapter_slots_lib.EngineSlots, now: float
-    ) -> models.AdapterKey | None:
-        """Returns what `_choose_victim` has returned in this pass, if valid."""
-        if self.victims_at != now:
-            self.victims.clear()
-            self.victims_at = now
-        if engine.engine_id in self.victims:
-            victim = self.victims[engine.engine_id]
-            if victim is None:
-                return None
-            slot = engine.adapter_slots.get(victim)
-            if slot is not None and self._is_evictable(victim, slot, now):
-                return victim
+    def _opening(
+        self,
+        engine: adapter_slots_lib.EngineSlots,
+        candidate: adapter_slots_lib.Candidate,
+        now: float,
+    ) -> adapter_slots_lib.Opening:
+        """Returns the latest answer of `_find_opening` if it still holds."""
+        known = engine.opening
+        if (
+            known is not None
+            and now - known.found_at < OPENING_LIFETIME_SECONDS
+            and self._holds(known, engine, candidate, now)
+        ):
+            return known
+        engine.opening = self._find_opening(engine, candidate, now)
+        return engine.opening
+
+    def _holds(
+        self,
+        opening: adapter_slots_lib.Opening,
+        engine: adapter_slots_lib.EngineSlots,
+        candidate: adapter_slots_lib.Candidate,
+        now: float,
+    ) -> bool:
+        if not opening.is_open:
+            return True
+        if opening.victim is None:
+            fillable = candidate.capacity - candidate.kept_free
+            return len(engine.adapter_slots) < fillable
+        slot = engine.adapter_slots.get(opening.victim)
+        return slot is not None and self._is_evictable(
+            opening.victim, slot, now
+        )
+
+    def _find_opening(
+        self,
+        engine: adapter_slots_lib.EngineSlots,
+        candidate: adapter_slots_lib.Candidate,
+        now: float,
+    ) -> adapter_slots_lib.Opening:
+        closed = adapter_slots_lib.Opening(now)
+        if engine.loading(now) >= MAX_LOADS_IN_FLIGHT:
+            return closed
+        taken = len(engine.adapter_slots)
+        if taken < candidate.capacity - candidate.kept_free:
+            return adapter_slots_lib.Opening(now, is_open=True)
+        # An engine with an unload that waits rejects further ones.
+        if taken > candidate.capacity or engine.has_waiting_unload:
+            return closed
         victim = self._choose_victim(engine, now)
-        self.victims[engine.engine_id] = victim
-        return victim
+        if victim is None:
+            return closed
+        return adapter_slots_lib.Opening(now, victim, is_open=True)
 
     def _choose_victim(
         self, engine: adapter_slots_lib.EngineSlots, now: float
@@ -765,6 +801,7 @@
             ordered=False,
             reservation=self.last_reservation,
         )
+        engine.opening = None
         # Published once the order is accepted: until then, it may fail and
         # nobody knows when the load will end.
         engine.adapter_slots[key] = slot
--- a/packages/dogwoodhinge/testing/fleet/test_placement.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement.py
@@ -644,7 +644,8 @@
     monkeypatch.setattr(placement, "_choose_victim", count)
     for number in range(40):
         candidates = [candidate(f"e{n}") for n in (1, 2, 3)]
-        find(placement, 1_000 + number, *candidates, now=10.0)
+        now = 10.0 + number * placement_lib.OPENING_LIFETIME_SECONDS / 41
+        find(placement, 1_000 + number, *candidates, now=now)
     assert sorted(ranked) == ["e1", "e2", "e3"]
 
 
