--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -155,6 +155,7 @@
             service=self._pick_service(route),
             config_version=configuration.version,
             organisation=None if holder is None else holder.organisation,
+            ranks=configuration.ranks,
         )
         await self._serve(call, reply)
 
