Bounds on what a node holds for callers and endpoints

Callers saw: a process that ended by its memory, with all its requests, after others had sent many requests ahead and left the answers unread.

Cause: reading went on at each end of a message while the parser still held megabytes, since the count of unparsed bytes was set to 0 there; the next request began while answers were queued; and nothing bounded all connections together, nor their number. At the limit of descriptors the node accepted nothing, reached no store and wrote 38 MB of log in 20 s.

Change: reading of a connection stops above 64 KiB that no request has consumed; a caller that leaves meanwhile is noticed by polling. The next request waits until the answer before has room. All that is held counts against one budget from the memory of the settings; callers that are behind are closed or refused (503, Retry-After, close) at its edge. Callers get three fifths of the descriptors, endpoints one fifth. A complete answer that stays unread for 30 s ends its connection.

test_connection_watch.py was written with the change and not run on the code before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -423,6 +423,7 @@
             self._begin(call, head, reply, length=length)
         else:
             self._begin(call, head, reply)
+        reply.hold(sum(len(part) for part in fetched.parts))
         for part in fetched.parts:
             await reply.write(part)
         if not fetched.response.complete:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -21,6 +21,7 @@
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import errors as http_errors
+from _dogwoodhinge.http1 import memory_budget
 from _dogwoodhinge.http1 import pool as pool_lib
 
 _T = TypeVar("_T")
@@ -403,7 +404,9 @@
         codec: codec_lib.Codec,
         connections_per_node: Callable[[str], int],
         announcements: announcements_lib.Announcements,
+        memory: memory_budget.MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory
         self.response_ends: collections.Counter[
             tuple[BodyFraming, ResponseEnd]
         ] = collections.Counter()
@@ -516,7 +519,7 @@
         engine_connections = self.connections_by_engine.get(entry.incarnation)
         if engine_connections is None:
             pool = pool_lib.ConnectionPool(
-                host=entry.host, port=entry.port, limit=1
+                host=entry.host, port=entry.port, limit=1, memory=self.memory
             )
             engine_connections = EngineConnections(pool, now)
             self.connections_by_engine[entry.incarnation] = engine_connections
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -11,15 +11,20 @@
 import select
 import socket
 import struct
-from typing import TypeAlias, cast, final
+from typing import Protocol, TypeAlias, cast, final
 
 import h11
 
 from _dogwoodhinge.http1 import errors
+from _dogwoodhinge.http1 import memory_budget
 
 # Reading is paused above this many unparsed bytes, so that a peer that sends
 # faster than its data is consumed does not fill this node's memory.
-MAX_UNPARSED_BYTES = 128 * 1024
+MAX_UNPARSED_BYTES = 64 * 1024
+
+# Bytes that are read at once, into a buffer that all connections share: what
+# is read is copied before another connection is read.
+READ_BYTES = 64 * 1024
 
 # A connection fails if the peer acknowledges no data for this long. The default
 # of the kernel is about 15 minutes.
@@ -43,9 +48,34 @@
     | h11.ConnectionClosed
 )
 
+_read_buffer = bytearray(READ_BYTES)
+
+
+class Owner(Protocol):
+    """The server whose callers' connections these are."""
+
+    def watch(self, connection: "Connection") -> None:
+        """Watches for the end of a connection that is not read or written."""
+
+    def connection_ended(self, connection: "Connection") -> None:
+        """Records the end of a connection."""
+
+    def relieve(self) -> None:
+        """Gives up connections while too much is held."""
+
 
 @final
-class Connection(asyncio.Protocol):
+class Parser(h11.Connection):
+    """A parser that tells how much it buffers."""
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Bytes received that no event has been returned for."""
+        return len(self._receive_buffer)
+
+
+@final
+class Connection(asyncio.BufferedProtocol):
     """The client or the server side of a connection.
 
     Attributes:
@@ -58,7 +88,10 @@
             time), `network_error`, `closed_here` or `aborted_here`; empty
             while the connection is open.
         idle_since: loop time of the last use, set by the connection pool.
-        unparsed_bytes: bytes received that the parser has not consumed yet.
+        holding: what is held for the peer.
+        refused: whether the next read fails, since too much is held.
+        unread_since: loop time since which a complete response has not been
+            sent; None if it has.
         message_number: number of the current message on this connection,
             starting at 1.
         message_bytes: bytes received of a message that is not complete.
@@ -75,6 +108,8 @@
         role: type[h11.CLIENT] | type[h11.SERVER],
         max_head_bytes: int,
         newest_max_head_bytes: Callable[[], int] | None = None,
+        memory: memory_budget.MemoryBudget | None = None,
+        owner: Owner | None = None,
     ) -> None:
         """Creates one side of a connection.
 
@@ -83,6 +118,8 @@
             max_head_bytes: limit for heads.
             newest_max_head_bytes: returns the limit for the next head; None if
                 it does not change.
+            memory: counts what is held for the peer; None for no limit.
+            owner: the server of a caller's connection.
         """
         self.role = role
         self.max_head_bytes = max_head_bytes
@@ -94,7 +131,11 @@
         self.eof = False
         self.end_reason = ""
         self.idle_since = 0.0
-        self.unparsed_bytes = 0
+        self.memory = memory
+        self.owner = owner
+        self.holding = memory_budget.Holding()
+        self.refused = False
+        self.unread_since: float | None = None
         self.message_number = 1
         self.message_bytes = 0
         self.rejected_ids: set[str] = set()
@@ -110,17 +151,23 @@
         self._reset_on_close = False
         self._lingers = False
         self._on_lost: asyncio.Task[None] | None = None
+        if role is h11.CLIENT:
+            self.holding.stage = memory_budget.Stage.ENDPOINT
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(
-            self.role, max_incomplete_event_size=self.max_head_bytes
-        )
+    def _new_parser(self) -> Parser:
+        return Parser(self.role, max_incomplete_event_size=self.max_head_bytes)
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets the timeout for unacknowledged data."""
         self.transport = cast(asyncio.Transport, transport)
+        if self.lost.is_set():
+            self.transport.abort()
+            return
+        if self.memory is not None:
+            self.holding.progress_at = asyncio.get_running_loop().time()
+            self.memory.add(self.holding)
         raw = transport.get_extra_info("socket")
         if raw is not None:
             # Not all kernels and test transports support the option.
@@ -131,6 +178,14 @@
                     UNACKNOWLEDGED_TIMEOUT_MS,
                 )
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer to read into."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handles what has been read into the buffer."""
+        self.data_received(bytes(memoryview(_read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser."""
         if self.pooled:
@@ -139,14 +194,78 @@
         if not self.message_bytes:
             self._apply_newest_limit()
         self.parser.receive_data(data)
-        self.unparsed_bytes += len(data)
         self.message_bytes += len(data)
-        if (
-            self.unparsed_bytes > MAX_UNPARSED_BYTES
-            and not self._reading_paused
-        ):
+        if self.parser.unparsed_bytes > self._max_unparsed_bytes:
             self._pause_reading()
         self._readable.set()
+        if self.memory is not None:
+            self.holding.progress_at = asyncio.get_running_loop().time()
+            self.count()
+            self._relieve()
+
+    @property
+    def _max_unparsed_bytes(self) -> int:
+        """Bytes above which reading is paused."""
+        if self.running and self.memory is not None and self.memory.pressed:
+            return 0
+        return MAX_UNPARSED_BYTES
+
+    @property
+    def running(self) -> bool:
+        """True while a request is served."""
+        return self._on_lost is not None
+
+    def count(self) -> None:
+        """Counts what is held for the peer now."""
+        if self.memory is None:
+            return
+        self.holding.received = self.parser.unparsed_bytes
+        self.holding.queued = (
+            0
+            if self.transport is None
+            else self.transport.get_write_buffer_size()
+        )
+        self.holding.stage = self._stage()
+        self.memory.update(self.holding)
+
+    def _stage(self) -> memory_budget.Stage:
+        if self.role is h11.CLIENT:
+            return memory_budget.Stage.ENDPOINT
+        if self.holding.queued or (self.running and self.holding.received):
+            return memory_budget.Stage.BEHIND
+        if self.running:
+            return memory_budget.Stage.RUNNING
+        if self.message_bytes or self.holding.body:
+            return memory_budget.Stage.READING
+        return memory_budget.Stage.IDLE
+
+    def _relieve(self) -> None:
+        if (
+            self.owner is not None
+            and self.memory is not None
+            and self.memory.exceeded
+        ):
+            self.owner.relieve()
+
+    def hold_body(self, size: int) -> None:
+        """Counts the body of the current request.
+
+        Args:
+            size: its size so far, in bytes; 0 once it is not held any more.
+        """
+        self.holding.body = size
+        self.count()
+        self._relieve()
+
+    def hold_response(self, size: int) -> None:
+        """Counts a response that is held until the peer has read it.
+
+        Args:
+            size: its size in bytes; 0 once it has been queued.
+        """
+        self.holding.kept = size
+        self.count()
+        self._relieve()
 
     def _apply_newest_limit(self) -> None:
         """Replaces the parser before a head to which another limit applies."""
@@ -170,6 +289,10 @@
         if self._lingers and not self._reset_on_close:
             self._set_linger(enabled=False)
         self._ended.set()
+        if self.memory is not None:
+            self.memory.remove(self.holding)
+        if self.owner is not None:
+            self.owner.connection_ended(self)
         self._mark_lost(_describe_end(exc))
 
     def pause_writing(self) -> None:
@@ -187,10 +310,14 @@
 
         Raises:
             ConnectionLostError: the connection ended before the message did.
-            ProtocolError: the received bytes are not valid HTTP.
+            ProtocolError: the received bytes are not valid HTTP, or too much
+                is held to receive the rest (status 503).
         """
         await self._let_others_run()
         while True:
+            if self.refused:
+                self.refused = False
+                raise errors.ProtocolError("too much is held", status=503)
             event = self._parse()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return cast(MessageEvent, event)
@@ -201,7 +328,9 @@
             if self.lost.is_set():
                 raise errors.ConnectionLostError(self._describe_loss())
             self._readable.clear()
-            self._resume_reading()
+            # The parser limits what it needs.
+            self._resume_reading(needed=event is h11.NEED_DATA)
+            self.count()
             await self._readable.wait()
             self._events_in_turn = 0
 
@@ -227,6 +356,11 @@
         except h11.LocalProtocolError as error:
             raise errors.ProtocolError(str(error)) from error
         self.transport.write(b"".join(parts))
+        if self.memory is not None and self.transport.get_write_buffer_size():
+            self.count()
+            if self.owner is not None:
+                self.owner.watch(self)
+                self._relieve()
 
     async def drain(self) -> None:
         """Waits until the write buffer has space again."""
@@ -251,7 +385,6 @@
         if self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
-        self.unparsed_bytes = 0
         self.message_number += 1
         return True
 
@@ -277,7 +410,6 @@
         )
         self.parser.send(again)
         self.parser.send(h11.EndOfMessage())
-        self.unparsed_bytes = len(rest)
         if rest:
             self.parser.receive_data(rest)
         return True
@@ -285,7 +417,7 @@
     @property
     def unread_bytes(self) -> bool:
         """True if bytes have arrived that belong to no parsed message."""
-        return bool(self.parser.trailing_data[0])
+        return self.parser.unparsed_bytes > 0
 
     def has_received(self) -> bool:
         """Returns whether bytes or a close wait to be parsed or read.
@@ -312,6 +444,34 @@
             or self.transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def writable(self) -> bool:
+        """True if the write buffer has space."""
+        return self._writable.is_set()
+
+    @property
+    def reading_paused(self) -> bool:
+        """True if the peer's data is not read, so its end is not seen."""
+        return self._reading_paused and not self._ended.is_set()
+
+    def fileno(self) -> int:
+        """Returns the descriptor; -1 if the connection has ended."""
+        if self.transport is None:
+            return -1
+        raw = self.transport.get_extra_info("socket")
+        return -1 if raw is None else int(raw.fileno())
+
+    def end_unread(self) -> None:
+        """Ends a connection whose peer has closed it before it was read."""
+        self.eof = True
+        self._mark_lost("peer_closed")
+        self.abort()
+
+    def refuse(self) -> None:
+        """Makes the read of the current request fail with status 503."""
+        self.refused = True
+        self._readable.set()
+
     def close(self) -> None:
         """Closes the connection after all queued data has been sent."""
         if self.transport is not None:
@@ -357,9 +517,11 @@
         self._on_lost = task
         if task is not None and self.lost.is_set():
             task.cancel()
-        # A request is read completely before it is served. Reading must go on,
-        # because otherwise a close by the peer would not be noticed.
+        # A request is read completely before it is served. Reading goes on, so
+        # that a close by the peer is noticed; the owner watches for it if the
+        # peer has sent too much ahead.
         self._resume_reading()
+        self.count()
 
     def _parse(self) -> object:
         try:
@@ -372,16 +534,12 @@
             raise errors.ProtocolError(
                 str(error), status=error.error_status_hint
             ) from error
-        if isinstance(event, h11.Data):
-            self.unparsed_bytes = max(0, self.unparsed_bytes - len(event.data))
-        elif isinstance(event, h11.EndOfMessage) or event is h11.NEED_DATA:
-            self.unparsed_bytes = 0
-        elif isinstance(event, h11.InformationalResponse):
+        if isinstance(event, h11.InformationalResponse):
             self._count_informational_response()
         elif isinstance(event, h11.Response):
             self._informational_responses = 0
         if isinstance(event, h11.EndOfMessage):
-            self.message_bytes = len(self.parser.trailing_data[0])
+            self.message_bytes = self.parser.unparsed_bytes
         return event
 
     def _count_informational_response(self) -> None:
@@ -419,11 +577,18 @@
         return "the peer closed the connection"
 
     def _pause_reading(self) -> None:
+        if self._reading_paused:
+            return
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
             self._reading_paused = True
+            if self.owner is not None:
+                self.owner.watch(self)
 
-    def _resume_reading(self) -> None:
+    def _resume_reading(self, *, needed: bool = False) -> None:
+        """Reads on if `needed`, or if the peer has not sent too much ahead."""
+        if not needed and self.parser.unparsed_bytes > self._max_unparsed_bytes:
+            return
         if self._reading_paused and self.transport is not None:
             self._reading_paused = False
             if not self.transport.is_closing():
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/pool.py
@@ -10,6 +10,7 @@
 
 from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import errors
+from _dogwoodhinge.http1 import memory_budget
 
 # A connection opens in a few milliseconds, also to other availability zones. A
 # lost SYN packet is only sent again after one second; it is faster to use
@@ -41,9 +42,18 @@
 
     Attributes:
         limit: connections that may be open at once.
+        memory: counts what is held for the endpoint; None not to count it.
     """
 
-    def __init__(self, *, host: str, port: int, limit: int) -> None:
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        limit: int,
+        memory: memory_budget.MemoryBudget | None = None,
+    ) -> None:
+        self.memory = memory
         self.host = host
         self.port = port
         self.limit = limit
@@ -203,6 +213,7 @@
             connection_lib.Connection,
             role=h11.CLIENT,
             max_head_bytes=MAX_RESPONSE_HEAD_BYTES,
+            memory=self.memory,
         )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/server.py
@@ -13,7 +13,9 @@
 
 from _dogwoodhinge import event_log
 from _dogwoodhinge.http1 import connection as connection_lib
+from _dogwoodhinge.http1 import connection_watch
 from _dogwoodhinge.http1 import errors
+from _dogwoodhinge.http1 import memory_budget
 
 Header = tuple[bytes, bytes]
 
@@ -33,7 +35,15 @@
 # that were accepted just before the listener closes are kept for this time.
 FIRST_REQUEST_DELAY = datetime.timedelta(milliseconds=100)
 
-MAX_BODY_BUFFER_BYTES = 48 * 1024 * 1024  # a sixth of a small host's memory
+# Connections that may wait to be accepted; as many may be accepted at once.
+DEFAULT_BACKLOG = 512
+
+# Limit for what is held for callers where the settings name no memory.
+DEFAULT_HELD_BYTES = 96 * 1024 * 1024
+
+# Sent with a refusal because too much is held: callers that are behind are
+# given up first, so the next request finds room.
+REFUSED_RETRY_SECONDS = 1
 
 
 @final
@@ -148,6 +158,14 @@
         if self._ends_with_close:
             self.connection.set_reset_on_close(enabled=False)
 
+    def hold(self, size: int) -> None:
+        """Counts a response that is in memory until the caller has read it.
+
+        Args:
+            size: its size in bytes.
+        """
+        self.connection.hold_response(size)
+
     def answer(
         self, status: int, headers: list[Header], body: bytes = b""
     ) -> None:
@@ -243,7 +261,8 @@
         leaving: set once the server shuts down: responses begun from then on
             carry `Connection: close`.
         active: number of requests being read or served.
-        buffered_bytes: size of all request bodies in memory.
+        memory: what is held for callers and endpoints.
+        watch: the connections, and their bounds.
         connections: all connections, including closed ones that still have
             data to send.
         idle: connections that wait for a request.
@@ -258,13 +277,37 @@
         handler: Handler,
         limits: Callable[[], Limits],
         report: event_log.EventReporter,
+        memory: memory_budget.MemoryBudget | None = None,
+        max_connections: int = connection_watch.DEFAULT_MAX_CONNECTIONS,
+        unread_timeout: datetime.timedelta = (
+            connection_watch.DEFAULT_UNREAD_TIMEOUT
+        ),
+        backlog: int = DEFAULT_BACKLOG,
     ) -> None:
+        """Creates a server that does not listen yet.
+
+        Args:
+            handler: answers requests.
+            limits: returns the limits for callers.
+            report: logs events.
+            memory: what may be held for peers; shared by all of a process.
+            max_connections: how many callers may be connected.
+            unread_timeout: how long a complete response may stay unread.
+            backlog: connections that may wait to be accepted.
+        """
         self.handler = handler
         self.limits = limits
         self.report = report
+        self.memory = memory or memory_budget.MemoryBudget(DEFAULT_HELD_BYTES)
+        self.backlog = backlog
+        self.watch = connection_watch.ConnectionWatch(
+            memory=self.memory,
+            max_connections=max_connections,
+            unread_timeout=unread_timeout,
+            report=report,
+        )
         self.leaving = asyncio.Event()
         self.active = 0
-        self.buffered_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: weakref.WeakSet[connection_lib.Connection] = (
             weakref.WeakSet()
@@ -279,7 +322,7 @@
         """Starts to accept connections on an address."""
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            self._make_connection, host, port, backlog=512
+            self._make_connection, host, port, backlog=self.backlog
         )
 
     def leave(self) -> None:
@@ -347,7 +390,11 @@
             role=h11.SERVER,
             max_head_bytes=self.limits().head_bytes,
             newest_max_head_bytes=lambda: self.limits().head_bytes,
+            memory=self.memory,
+            owner=self.watch,
         )
+        if not self.watch.admit(connection):
+            return connection
         self.connections.add(connection)
         task = asyncio.get_running_loop().create_task(self._serve(connection))
         self.tasks.add(task)
@@ -458,7 +505,8 @@
             raise
         finally:
             connection.cancel_when_lost(None)
-            self.buffered_bytes -= len(request.body)
+            connection.hold_response(0)
+            connection.hold_body(0)
         if not reply.finished:
             reply.break_off()
             self.unanswered["serving", connection.end_reason] += 1
@@ -471,6 +519,8 @@
             return False
         if self.leaving.is_set() and not connection.has_received():
             return False
+        if not connection.writable:
+            await connection.drain()
         return connection.start_next_message()
 
     async def _read_request(
@@ -542,19 +592,15 @@
                 if not isinstance(event, h11.Data):
                     break
                 size += len(event.data)
-                self.buffered_bytes += len(event.data)
+                connection.hold_body(size)
                 if size > limits.body_bytes:
                     raise errors.ProtocolError(
                         f"request body exceeds {limits.body_bytes} bytes",
                         status=413,
                     )
-                if self.buffered_bytes > MAX_BODY_BUFFER_BYTES:
-                    raise errors.ProtocolError(
-                        "request body buffer full", status=503
-                    )
                 parts.append(bytes(event.data))
         except BaseException:
-            self.buffered_bytes -= size
+            connection.hold_body(0)
             raise
         return b"".join(parts)
 
@@ -563,8 +609,11 @@
     ) -> None:
         self.report("request_rejected", {"status": status})
         reply = Reply(connection, must_close=lambda: True)
+        headers: list[Header] = []
+        if status == 503:
+            headers.append((b"Retry-After", b"%d" % REFUSED_RETRY_SECONDS))
         try:
-            reply.answer(status, [])
+            reply.answer(status, headers)
         except (errors.HttpError, h11.LocalProtocolError):
             connection.abort()
             return
