--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -22,6 +22,7 @@
 from _dogwoodhinge.gateway import requests
 from _dogwoodhinge.http1 import connection as connection_lib
 from _dogwoodhinge.http1 import errors as http_errors
+from _dogwoodhinge.http1 import memory_budget
 from _dogwoodhinge.http1 import pool as pool_lib
 
 _T = TypeVar("_T")
@@ -385,7 +386,9 @@
         codec: codec_lib.Codec,
         connections_per_node: Callable[[str], int],
         announcements: announcements_lib.Announcements,
+        memory: memory_budget.MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory
         self.response_ends: collections.Counter[
             tuple[BodyFraming, ResponseEnd]
         ] = collections.Counter()
@@ -477,7 +480,7 @@
         pool = self.pools.get(entry.incarnation)
         if pool is None:
             pool = pool_lib.ConnectionPool(
-                host=entry.host, port=entry.port, limit=1
+                host=entry.host, port=entry.port, limit=1, memory=self.memory
             )
             self.pools[entry.incarnation] = pool
         pool.limit = self.connections_per_node(entry.service)
