--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/fleet_fakes.py
@@ -6,6 +6,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import orders
+from _dogwoodhinge.fleet import revisions
 from dogwoodhinge import errors
 
 
@@ -25,6 +26,7 @@
     """One row with conditional writes, and faults.
 
     Attributes:
+        era: rises each time that the table comes back from an older copy.
         down: every call fails, nothing is done.
         lose_answers: writes are done, and their answers lost.
         delayed: writes that are carried out later, when `deliver` is called.
@@ -32,6 +34,7 @@
 
     record: order_lease.Record | None = None
     revision: int = 0
+    era: int = 0
     down: bool = False
     lose_answers: bool = False
     delay: bool = False
@@ -44,20 +47,24 @@
         """Reads the row."""
         if self.down:
             raise errors.TableUnavailableError("down")
-        return order_lease.Row(self.record, self.revision)
+        return order_lease.Row(
+            self.record, revisions.Revision(self.era, self.revision)
+        )
 
-    async def write(self, record: order_lease.Record, *, revision: int) -> int:
-        """Replaces the row."""
+    async def write(
+        self, record: order_lease.Record, *, revision: revisions.Revision
+    ) -> revisions.Revision:
+        """Replaces the row if the number fits, of whatever era it is."""
         self.writes += 1
         if self.down:
             raise errors.TableUnavailableError("down")
         if self.delay:
-            self.delayed.append((record, revision))
+            self.delayed.append((record, revision.number))
             raise errors.TableOutcomeUnknownError("no answer")
-        self.apply(record, revision)
+        self.apply(record, revision.number)
         if self.lose_answers:
             raise errors.TableOutcomeUnknownError("no answer")
-        return self.revision
+        return revisions.Revision(self.era, self.revision)
 
     def apply(self, record: order_lease.Record, revision: int) -> None:
         """Carries a write out under its condition."""
@@ -73,6 +80,17 @@
                 self.apply(record, revision)
         self.delayed.clear()
 
+    def copy(self) -> tuple[order_lease.Record | None, int]:
+        """Returns a copy of the row."""
+        return self.record, self.revision
+
+    def come_back_from(
+        self, copied: tuple[order_lease.Record | None, int]
+    ) -> None:
+        """Begins an era with a copy of the row."""
+        self.record, self.revision = copied
+        self.era += 1
+
 
 @dataclasses.dataclass
 class FakeOrders:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -16,6 +16,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import revisions
 from _dogwoodhinge.fleet import table_updates as table_updates_lib
 from _dogwoodhinge.fleet import usage as usage_lib
 from _dogwoodhinge.quarantine import quarantine as quarantine_lib
@@ -52,7 +53,10 @@
         updates: table_updates_lib.TableUpdates,
         announcements: announcements_lib.Announcements,
         quarantine: quarantine_lib.Quarantine,
+        *,
+        store_era: revisions.StoreEra,
     ) -> None:
+        self.store_era = store_era
         self.quarantine = quarantine
         self.leader = leader
         self.lease_table = lease_table
@@ -102,7 +106,9 @@
         """Reads or writes the row of the order lease for a peer."""
         request = await stream.recv_message()
         if request is not None:
-            answer = await lease_relay.handle_call(self.lease_table, request)
+            answer = await lease_relay.handle_call(
+                self.lease_table, request, store_era=self.store_era
+            )
             await stream.send_message(answer)
 
     async def place(
@@ -166,6 +172,7 @@
 
     def sync(self, request: fleet_pb2.SyncRequest) -> fleet_pb2.SyncReply:
         """Records a node's use and returns what has changed."""
+        self.store_era.observe_peer(request.store_era, source="sync_request")
         use = usage_lib.NodeUse(
             node=request.node,
             active={
@@ -200,6 +207,9 @@
         if request.token == token:
             changes = placement.changes_since(request.known_change)
         complete = changes is None
+        lease_revision = self.leader.lease.revision or revisions.Revision(
+            self.store_era.current or 0, 0
+        )
         if changes is None:
             changes = placement.all_slots()
         return fleet_pb2.SyncReply(
@@ -217,10 +227,15 @@
             ],
             nodes=len(self.leader.usage.reports),
             peers=self.leader.peers(MAX_PEERS_SENT),
-            lease_revision=max(0, self.leader.lease.revision),
+            lease_revision=lease_revision.number,
+            lease_era=lease_revision.era,
+            store_era=self.store_era.current or 0,
             may_order=self.leader.lease.may_order(),
             news=self._encode_updates(
-                {n.table: n.revision for n in request.known}
+                {
+                    n.table: revisions.Revision(n.era, n.revision)
+                    for n in request.known
+                }
             ),
             leaving=encode_leaving(self.leader.directory),
             quarantine=self.encode_quarantine(),
@@ -258,7 +273,7 @@
             self.quarantine.receive(row.key, row.value, write=write)
 
     def _encode_updates(
-        self, known: dict[str, int]
+        self, known: dict[str, revisions.Revision]
     ) -> list[fleet_pb2.TableNews]:
         now = asyncio.get_running_loop().time()
         encoded = []
@@ -269,7 +284,8 @@
             encoded.append(
                 fleet_pb2.TableNews(
                     table=table,
-                    revision=state.revision,
+                    revision=state.revision.number,
+                    era=state.revision.era,
                     age_ms=round((now - state.read_at) * 1000),
                     complete=rows is not None,
                     rows=[_encode_row(row) for row in rows or ()],
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -19,6 +19,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import peer_channels
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import revisions
 from _dogwoodhinge.fleet import table_updates as table_updates_lib
 
 # A call crosses one zone boundary and may wait in the placement queue, and then
@@ -45,7 +46,9 @@
         return None
     return [
         table_updates_lib.Row(
-            row.key, None if row.removed else row.value, update.revision
+            row.key,
+            None if row.removed else row.value,
+            revisions.Revision(update.era, update.revision),
         )
         for row in update.rows
     ]
@@ -91,7 +94,7 @@
         self.known_token = 0
         self.nodes = 0
         self.peers: tuple[str, ...] = ()
-        self.lease_revision = 0
+        self.lease_revision = revisions.Revision(0, 0)
         self.leader_may_order = True
         self.slot_shortage_at = -math.inf
         self.retries_allowed_from: dict[str, float] = {}
@@ -220,10 +223,13 @@
         request.node = self.node
         request.token = self.known_token
         request.known_change = self.known_change
+        request.store_era = self.local.store_era.current or 0
         request.leaving.extend(fleet_server.encode_leaving(self.directory))
         request.quarantine.extend(self.local.encode_quarantine())
         request.known.extend(
-            fleet_pb2.TableNews(table=table, revision=revision)
+            fleet_pb2.TableNews(
+                table=table, revision=revision.number, era=revision.era
+            )
             for table, revision in self.local.updates.applied.items()
         )
         if self._is_local():
@@ -247,12 +253,15 @@
         self.known_token = reply.token
         self.known_change = reply.last_change
         self.nodes = reply.nodes
-        self.lease_revision = reply.lease_revision
+        self.local.store_era.observe_peer(reply.store_era, source="sync_reply")
+        self.lease_revision = revisions.Revision(
+            reply.lease_era, reply.lease_revision
+        )
         self.leader_may_order = reply.may_order
         for update in reply.news:
             self.local.updates.apply_update(
                 update.table,
-                update.revision,
+                revisions.Revision(update.era, update.revision),
                 now - update.age_ms / 1000,
                 _decode_rows(update),
             )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/lease_relay.py
@@ -4,7 +4,8 @@
 other nodes reach it. Without a relay it would have to stop, and no adapter
 could be loaded until another node has waited for the lease to expire. A peer
 forwards the leader's conditional writes; the holder of the lease stays the
-same.
+same. A peer that knows of a newer era of the store refuses a write whose
+condition is of an earlier one, which might fit the row by chance.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 from _dogwoodhinge.fleet import fleet_pb2
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import peer_channels
+from _dogwoodhinge.fleet import revisions
 from dogwoodhinge import errors
 
 # Delay after a failure before this node's own connection is tried again. Calls
@@ -38,31 +40,47 @@
     if record is None:
         return None
     return fleet_pb2.LeaseRecord(
-        node=record.node, address=record.address, token=record.token
+        node=record.node,
+        address=record.address,
+        token=record.token,
+        era=record.era,
     )
 
 
 def decode(record: fleet_pb2.LeaseRecord) -> order_lease.Record:
     """Decodes a record from its message."""
     return order_lease.Record(
-        node=record.node, address=record.address, token=record.token
+        node=record.node,
+        address=record.address,
+        token=record.token,
+        era=record.era,
     )
 
 
 async def handle_call(
-    table: order_lease.LeaseTable, call: fleet_pb2.LeaseCall
+    table: order_lease.LeaseTable,
+    call: fleet_pb2.LeaseCall,
+    *,
+    store_era: revisions.StoreEra,
 ) -> fleet_pb2.LeaseAnswer:
     """Executes a peer's call on this node's own connection."""
+    is_current = store_era.observe_peer(call.era, source="lease_call")
+    if call.HasField("record") and not is_current:
+        return fleet_pb2.LeaseAnswer(
+            outcome=Outcome.CONFLICT, era=store_era.current
+        )
     try:
         if not call.HasField("record"):
             row = await table.read()
             return fleet_pb2.LeaseAnswer(
                 outcome=Outcome.DONE,
                 record=encode(row.record),
-                revision=row.revision,
+                revision=row.revision.number,
+                era=row.revision.era,
             )
         revision = await table.write(
-            decode(call.record), revision=call.revision
+            decode(call.record),
+            revision=revisions.Revision(call.era, call.revision),
         )
     except errors.TableConflictError:
         return fleet_pb2.LeaseAnswer(outcome=Outcome.CONFLICT)
@@ -70,7 +88,9 @@
         return fleet_pb2.LeaseAnswer(outcome=Outcome.UNKNOWN)
     except errors.TableError:
         return fleet_pb2.LeaseAnswer(outcome=Outcome.UNAVAILABLE)
-    return fleet_pb2.LeaseAnswer(outcome=Outcome.DONE, revision=revision)
+    return fleet_pb2.LeaseAnswer(
+        outcome=Outcome.DONE, revision=revision.number, era=revision.era
+    )
 
 
 @final
@@ -88,10 +108,12 @@
         *,
         direct: order_lease.LeaseTable,
         peers: Callable[[], Sequence[str]],
+        store_era: revisions.StoreEra,
         report: event_log.EventReporter,
     ) -> None:
         self.direct = direct
         self.peers = peers
+        self.store_era = store_era
         self.report = report
         self.direct_failed_at: float | None = None
 
@@ -105,13 +127,23 @@
             else:
                 self.direct_failed_at = None
                 return row
-        response = await self._call_peers(fleet_pb2.LeaseCall())
+        response = await self._call_peers(
+            fleet_pb2.LeaseCall(era=self.store_era.current or 0)
+        )
+        if not self.store_era.observe_peer(response.era, source="lease_answer"):
+            raise errors.TableUnavailableError(
+                f"the peer's row is of the earlier era {response.era}"
+            )
         record = (
             decode(response.record) if response.HasField("record") else None
         )
-        return order_lease.Row(record, response.revision)
+        return order_lease.Row(
+            record, revisions.Revision(response.era, response.revision)
+        )
 
-    async def write(self, record: order_lease.Record, *, revision: int) -> int:
+    async def write(
+        self, record: order_lease.Record, *, revision: revisions.Revision
+    ) -> revisions.Revision:
         """Replaces the row if it still has `revision`."""
         if self._should_try_direct():
             try:
@@ -125,9 +157,19 @@
                 self.direct_failed_at = None
                 return written
         response = await self._call_peers(
-            fleet_pb2.LeaseCall(record=encode(record), revision=revision)
+            fleet_pb2.LeaseCall(
+                record=encode(record),
+                revision=revision.number,
+                era=revision.era,
+            )
         )
-        return response.revision
+        self.store_era.observe_peer(response.era, source="lease_answer")
+        if response.era != revision.era:
+            raise errors.TableOutcomeUnknownError(
+                f"the row was written in era {response.era}, on a condition of "
+                f"era {revision.era}"
+            )
+        return revisions.Revision(response.era, response.revision)
 
     def _should_try_direct(self) -> bool:
         if self.direct_failed_at is None or not self.peers():
@@ -155,6 +197,7 @@
             if response.outcome == Outcome.DONE:
                 return response
             if response.outcome == Outcome.CONFLICT:
+                self.store_era.observe_peer(response.era, source="lease_answer")
                 raise errors.TableConflictError(
                     f"{peer}: the lease row is not at revision {call.revision}"
                 )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -6,12 +6,17 @@
 recovered is removed. An entry that was written after the recovery and then
 removed means that the endpoint has left, and is applied immediately.
 
+A store that comes back from an older copy lists endpoints as they were some
+time ago. Until an endpoint has written its entry again, the entry of the copy
+neither brings back one that has gone or an earlier start, nor changes what is
+known of one; it only shows that the endpoint is not missing.
+
 The store has recovered once it responds to any node: this one may have no
 reason to read it for a long time while the leader's updates cover it.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 import dataclasses
 import datetime
 import math
@@ -29,6 +34,10 @@
 # outage, or the start of this process, expires none.
 MIN_OUTAGE = datetime.timedelta(seconds=2.0)
 
+# Removed endpoints whose start is remembered, the latest ones. A copy is some
+# seconds old.
+MAX_REMOVED = 1_000
+
 
 @final
 class EndpointListing:
@@ -44,6 +53,10 @@
             are removed if they do not.
         written: endpoints whose entries were written since the last recovery.
         responses: number of responses of the source to this node since then.
+        removed: start of each endpoint that was removed, by its id.
+        recheck_at: loop time at which the list is read again since entries of
+            an older copy were ignored; the leader may have applied them, and
+            then sends no update when they are written again.
         changes: number of endpoints that joined, started leaving or were
             removed so far; changes of what they hold do not count.
     """
@@ -65,12 +78,15 @@
         self.written: set[str] = set()
         self.responses = 0
         self.left_incarnations: set[tuple[str, int]] = set()
+        self.removed: dict[str, int] = {}
+        self.recheck_at = math.inf
         self.changes = 0
 
     def update(self, entry: models.EngineEntry) -> None:
         """Applies a new or changed entry."""
         now = self._now()
         self.missing.pop(entry.engine_id, None)
+        self.removed.pop(entry.engine_id, None)
         if self.responses > 1:
             # The first response also contains entries from before the outage.
             self.written.add(entry.engine_id)
@@ -167,15 +183,65 @@
         self.missing.pop(engine_id, None)
         self._remove(engine_id, "told")
 
-    def replace_all(self, entries: Iterable[models.EngineEntry]) -> None:
-        """Applies the complete list."""
+    def replace_all(
+        self,
+        entries: Iterable[models.EngineEntry],
+        *,
+        copied: Collection[str] = (),
+    ) -> None:
+        """Applies the complete list.
+
+        Args:
+            entries: the entries.
+            copied: ids of endpoints that have not written their entry since
+                the list came back from an older copy.
+        """
         listed = set()
         for entry in entries:
-            listed.add(entry.engine_id)
-            self.update(entry)
+            current: models.EngineEntry | None = entry
+            if entry.engine_id in copied:
+                current = self._merge_copied(entry)
+            if current is not None:
+                listed.add(entry.engine_id)
+                self.update(current)
         for engine_id in self.directory.engines.keys() - listed:
             self.withdraw(engine_id)
 
+    def source_rolled_back(self) -> None:
+        """Records that the list has come back from an older copy.
+
+        Entries that the copy lacks say nothing about their endpoints, as after
+        an outage.
+        """
+        self.restored_at = self._now()
+        self.written.clear()
+        self.responses = 1
+
+    def _merge_copied(
+        self, entry: models.EngineEntry
+    ) -> models.EngineEntry | None:
+        """Returns the entry that an entry of an older copy leaves in force.
+
+        Returns None if it is that of an endpoint that has gone.
+        """
+        engine = self.directory.engines.get(entry.engine_id)
+        if engine is None:
+            known_start = self.removed.get(entry.engine_id, -1)
+        else:
+            known_start = engine.entry.born_ms
+            if entry.born_ms in (0, known_start):
+                return dataclasses.replace(
+                    engine.entry, leaving=engine.entry.leaving or entry.leaving
+                )
+        if entry.born_ms > known_start:
+            return entry
+        self.recheck_at = self.restored_at + REJOIN_TIMEOUT.total_seconds()
+        self.report(
+            "endpoint_copy_ignored",
+            {"engine": entry.engine_id, "born_ms": entry.born_ms},
+        )
+        return None
+
     def source_lost(self, reason: str) -> None:
         """Records that the list can't be read."""
         if self.source_available:
@@ -217,12 +283,14 @@
         self.responses += 1
 
     def due_at(self) -> float:
-        """Returns the loop time at which the next missing endpoint expires."""
-        return min(self.missing.values(), default=math.inf)
+        """Returns the loop time by which the list has to be read again."""
+        return min([self.recheck_at, *self.missing.values()])
 
     def drop_missing(self) -> None:
         """Removes missing endpoints that did not reappear in time."""
         now = self._now()
+        if self.source_available and now >= self.recheck_at:
+            self.recheck_at = math.inf
         for engine_id, expires_at in tuple(self.missing.items()):
             if self.source_available and now >= expires_at:
                 del self.missing[engine_id]
@@ -235,6 +303,9 @@
             return
         if engine.leaving:
             self.left_incarnations.add(engine.entry.incarnation)
+        self.removed[engine_id] = engine.entry.born_ms
+        if len(self.removed) > MAX_REMOVED:
+            del self.removed[next(iter(self.removed))]
         self._report_gone(engine, reason)
 
     def _report_gone(self, engine: engines_lib.Engine, reason: str) -> None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -225,7 +225,10 @@
             self.usage_counter.restore(request)
             self.failures = FAILURES_BEFORE_LEASE_READ
         else:
-            self.lease.observe_revision(self.leader_client.lease_revision)
+            self.lease.observe_revision(
+                self.leader_client.lease_revision,
+                token=self.leader_client.known_token,
+            )
             if self.failures >= FAILURES_BEFORE_LEASE_READ:
                 self.report("owner_reached", {"token": self.lease.token})
             self.failures = 0
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -9,6 +9,10 @@
 older than `max_age`. That age follows from the time within which the deployment
 wants changes known: with hundreds of nodes, which sync less often each, a
 shorter one would make all of them read the store all the time.
+
+Revisions of different eras of the store are not compared: a node reads each
+table itself once in each era, and passes on and applies only updates of the
+era in which it has read the table.
 """
 
 import collections
@@ -18,6 +22,8 @@
 import enum
 from typing import final
 
+from _dogwoodhinge.fleet import revisions
+
 # Time for a node's own read of the store, retries included, once the leader's
 # information is too old.
 READ_MARGIN = datetime.timedelta(milliseconds=600)
@@ -42,7 +48,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: revisions.Revision
 
 
 @final
@@ -55,7 +61,7 @@
         read_at: loop time at which the table was last read.
     """
 
-    revision: int
+    revision: revisions.Revision
     read_at: float
 
 
@@ -68,6 +74,7 @@
     BEHIND = "behind"  # the leader could not send all rows
     INTERVAL = "interval"  # from time to time, in any case
     DUE = "due"  # an endpoint that is missing may be removed
+    ERA = "era"  # the store has come back from an older copy
 
 
 @final
@@ -80,10 +87,10 @@
     """
 
     def __init__(self) -> None:
-        self.begin: int | None = None
+        self.begin: revisions.Revision | None = None
         self.rows: collections.deque[Row] = collections.deque()
 
-    def restart(self, revision: int) -> None:
+    def restart(self, revision: revisions.Revision) -> None:
         """Clears the log; it is complete from `revision` on."""
         self.begin = revision
         self.rows.clear()
@@ -94,15 +101,19 @@
         while len(self.rows) > MAX_ROWS:
             self.begin = self.rows.popleft().revision
 
-    def since(self, revision: int) -> list[Row] | None:
+    def since(self, revision: revisions.Revision) -> list[Row] | None:
         """Returns the rows after `revision`.
 
-        Returns None if some are no longer in the log, or if they are larger
-        than `MAX_UPDATE_BYTES`.
+        Returns None if some are no longer in the log, if they are larger than
+        `MAX_UPDATE_BYTES`, or if the log is of another era.
         """
-        if self.begin is None or revision < self.begin:
+        if (
+            self.begin is None
+            or self.begin.era != revision.era
+            or self.begin.is_after(revision)
+        ):
             return None
-        rows = [row for row in self.rows if row.revision > revision]
+        rows = [row for row in self.rows if row.revision.is_after(revision)]
         size = sum(len(row.key) + len(row.value or b"") for row in rows)
         return rows if size <= MAX_UPDATE_BYTES else None
 
@@ -128,18 +139,25 @@
         *,
         is_leader: Callable[[], bool],
         known_within: Callable[[], datetime.timedelta],
+        store_era: revisions.StoreEra,
     ) -> None:
+        self.store_era = store_era
         self.is_leader = is_leader
         self.known_within = known_within
         self.local_states: dict[str, TableState] = {}
         self.leader_states: dict[str, TableState] = {}
-        self.applied: dict[str, int] = {}
+        self.applied: dict[str, revisions.Revision] = {}
         self.logs: dict[str, RowLog] = {}
         self.row_handlers: dict[str, Callable[[list[Row]], None]] = {}
         self.read_handlers: dict[str, Callable[[float], None]] = {}
 
     def record_read(
-        self, table: str, revision: int, now: float, *, rows: list[Row] | None
+        self,
+        table: str,
+        revision: revisions.Revision,
+        now: float,
+        *,
+        rows: list[Row] | None,
     ) -> None:
         """Records a response of the store to this node.
 
@@ -151,20 +169,23 @@
                 relevant change, so that other nodes have to read the table.
         """
         known = self.local_states.get(table)
-        self.applied[table] = max(revision, self.applied.get(table, 0))
+        applied = self.applied.get(table)
+        is_new_era = applied is None or applied.era != revision.era
+        if applied is None or is_new_era or revision.is_after(applied):
+            self.applied[table] = revision
         log = self.logs.setdefault(table, RowLog())
-        if rows is None:
+        if rows is None or is_new_era:
             log.restart(revision)
         else:
             log.add(rows)
-        if known is not None and rows == []:
+        if known is not None and rows == [] and not is_new_era:
             revision = known.revision
         self.local_states[table] = TableState(revision, now)
 
     def apply_update(
         self,
         table: str,
-        revision: int,
+        revision: revisions.Revision,
         read_at: float,
         rows: list[Row] | None,
     ) -> None:
@@ -177,12 +198,19 @@
             rows: all relevant changes that this node lacks; None if the
                 leader can't send them.
         """
+        if not self.store_era.observe_peer(revision.era, source="table_update"):
+            return
         self.leader_states[table] = TableState(revision, read_at)
         record_leader_read = self.read_handlers.get(table)
         if record_leader_read is not None:
             record_leader_read(read_at)
         applied = self.applied.get(table)
-        if rows is None or applied is None or revision <= applied:
+        if (
+            rows is None
+            or applied is None
+            or applied.era != revision.era
+            or not revision.is_after(applied)
+        ):
             return
         apply_rows = self.row_handlers.get(table)
         if apply_rows is not None:
@@ -210,6 +238,11 @@
             return ReadCause.LEADER
         if state is None or applied is None:
             return ReadCause.FIRST
+        if self.store_era.current not in (None, applied.era):
+            return ReadCause.ERA
+        if state.revision.era != applied.era:
+            return ReadCause.OUTDATED
         if now - state.read_at >= self.max_age.total_seconds():
             return ReadCause.OUTDATED
-        return ReadCause.BEHIND if state.revision > applied else None
+        is_behind = state.revision.is_after(applied)
+        return ReadCause.BEHIND if is_behind else None
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -463,6 +463,26 @@
             if fingerprint not in self.unwritten_changes:
                 self.view.forget(fingerprint)
 
+    def apply_copy(self, rows: Iterable[tuple[str, bytes | None]]) -> None:
+        """Applies all rows of a table that came back from an older copy.
+
+        What this node knows and the copy lacks is written again, by each node
+        that knows it; what one has written is found there by the others.
+        """
+        for fingerprint, known in self.cached_records.items():
+            if not self.view.is_expired(fingerprint):
+                # Contains the changes that were not written yet.
+                self.unwritten_changes[fingerprint] = [
+                    functools.partial(rules.restored, known=known)
+                ]
+        self.apply_snapshot(rows)
+        if self.unwritten_changes:
+            self.has_unwritten.set()
+            self.report_event(
+                "quarantine_written_again",
+                {"records": len(self.unwritten_changes)},
+            )
+
     def _apply_record(self, record: records.QuarantineRecord) -> None:
         changed = self._with_unwritten(record.fingerprint, record)
         if changed is not None:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/rules.py
@@ -308,6 +308,28 @@
     )
 
 
+def restored(
+    old: records.QuarantineRecord | None, *, known: records.QuarantineRecord
+) -> records.QuarantineRecord:
+    """Returns the record of a table that came back from an older copy.
+
+    Args:
+        old: the record in the copy; None if there is none.
+        known: the record as a node knows it, its claim included.
+    """
+    if old is None:
+        return known
+    united = merged(old, known)
+    if known.claim and united.verdict is records.Verdict.SUSPECT:
+        return dataclasses.replace(
+            united,
+            verdict=records.Verdict.RERUNNING,
+            claim=known.claim,
+            claim_seconds=known.claim_seconds,
+        )
+    return united
+
+
 def _union(one: tuple[str, ...], other: tuple[str, ...]) -> tuple[str, ...]:
     return _latest(*one, *(engine for engine in other if engine not in one))
 
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -25,6 +25,7 @@
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import revisions
 from _dogwoodhinge.fleet import shared_retry_budget
 from _dogwoodhinge.fleet import table_updates
 from _dogwoodhinge.quarantine import quarantine
@@ -147,9 +148,12 @@
         ),
         report=report,
     )
+    store_era = revisions.StoreEra(report=report)
+    store_era.on_change.append(lease.enter_era)
     known = table_updates.TableUpdates(
         is_leader=lambda: lease.is_held_here,
         known_within=lambda: datetime.timedelta(seconds=2),
+        store_era=store_era,
     )
     local = fleet_server.FleetServer(
         leader,
@@ -166,6 +170,7 @@
             report=lambda record, *, request_id: None,
             report_event=report,
         ),
+        store_era=store_era,
     )
     client = leader_client.LeaderClient(
         node=f"{name}@127.0.0.1",
@@ -436,6 +441,11 @@
     assert node.leader.placement_queue.lead_time(60.0) < 0.25
 
 
+def at(number: int, *, era: int = 0) -> revisions.Revision:
+    """Returns a revision of a table."""
+    return revisions.Revision(era, number)
+
+
 async def test_rows_that_the_leader_reads_are_sent_to_the_others(
     node: Node,
     table: fleet_fakes.FakeLeaseTable,
@@ -448,14 +458,14 @@
     known.row_handlers["op"] = received_rows.extend
     await until(node.lease.may_order)
     now = asyncio.get_running_loop().time
-    node.leader_client.local.updates.record_read("op", 5, now(), rows=None)
-    known.record_read("op", 5, now(), rows=None)
+    node.leader_client.local.updates.record_read("op", at(5), now(), rows=None)
+    known.record_read("op", at(5), now(), rows=None)
     await other.start()
     rows = [
-        table_updates.Row("config", b"{}", 6),
-        table_updates.Row("gone", None, 6),
+        table_updates.Row("config", b"{}", at(6)),
+        table_updates.Row("gone", None, at(6)),
     ]
-    node.leader_client.local.updates.record_read("op", 6, now(), rows=rows)
+    node.leader_client.local.updates.record_read("op", at(6), now(), rows=rows)
     await until(lambda: received_rows)
     assert received_rows == rows
     assert known.read_cause("op", now()) is None
--- a/packages/dogwoodhinge/testing/fleet/test_membership.py
+++ b/packages/dogwoodhinge/testing/fleet/test_membership.py
@@ -10,6 +10,7 @@
 from _dogwoodhinge.fleet import leader_client
 from _dogwoodhinge.fleet import membership
 from _dogwoodhinge.fleet import order_lease
+from _dogwoodhinge.fleet import revisions
 from dogwoodhinge_lab import fleet_fakes
 
 DISTANCE = datetime.timedelta(seconds=3)
@@ -128,7 +129,7 @@
     await lease.refresh()
     table.record = order_lease.Record(node="n2@h2", address="h2:1", token=5)
     table.revision = 8
-    lease.observe_revision(8)
+    lease.observe_revision(revisions.Revision(0, 8))
     clock.seconds += 60.0
     assert await lease.try_acquire()
     assert table.record is not None
--- a/packages/dogwoodhinge/testing/fleet/test_table_updates.py
+++ b/packages/dogwoodhinge/testing/fleet/test_table_updates.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from _dogwoodhinge.fleet import revisions
 from _dogwoodhinge.fleet import table_updates
 
 KNOWN_WITHIN = datetime.timedelta(seconds=2)
@@ -11,8 +12,18 @@
 TABLE = "servers"
 
 
-def row(key: str, revision: int, *, size: int = 1) -> table_updates.Row:
-    return table_updates.Row(key, b"x" * size, revision)
+def at(number: int, *, era: int = 0) -> revisions.Revision:
+    return revisions.Revision(era, number)
+
+
+def row(
+    key: str, revision: int, *, size: int = 1, era: int = 0
+) -> table_updates.Row:
+    return table_updates.Row(key, b"x" * size, at(revision, era=era))
+
+
+def make_era() -> revisions.StoreEra:
+    return revisions.StoreEra(report=lambda event, fields: None)
 
 
 def follower(
@@ -20,9 +31,11 @@
 ) -> table_updates.TableUpdates:
     """Returns the table updates of a node that has read the table once."""
     known = table_updates.TableUpdates(
-        is_leader=lambda: leading, known_within=lambda: KNOWN_WITHIN
+        is_leader=lambda: leading,
+        known_within=lambda: KNOWN_WITHIN,
+        store_era=make_era(),
     )
-    known.record_read(TABLE, revision, 0.0, rows=None)
+    known.record_read(TABLE, at(revision), 0.0, rows=None)
     return known
 
 
@@ -43,7 +56,7 @@
     cause: table_updates.ReadCause | None,
 ) -> None:
     known = follower(leading=leading)
-    known.apply_update(TABLE, revision, 10.0, None)
+    known.apply_update(TABLE, at(revision), 10.0, None)
     assert known.read_cause(TABLE, 10.0 + age) is cause
 
 
@@ -54,16 +67,18 @@
 
 def test_table_that_was_never_read_is_not_covered() -> None:
     known = table_updates.TableUpdates(
-        is_leader=lambda: False, known_within=lambda: KNOWN_WITHIN
+        is_leader=lambda: False,
+        known_within=lambda: KNOWN_WITHIN,
+        store_era=make_era(),
     )
-    known.apply_update(TABLE, 5, 10.0, [])
+    known.apply_update(TABLE, at(5), 10.0, [])
     assert known.read_cause(TABLE, 10.0) is table_updates.ReadCause.FIRST
 
 
 def test_response_without_relevant_changes_keeps_the_revision() -> None:
     known = follower(revision=7, leading=True)
-    known.record_read(TABLE, 9, 2.0, rows=[])
-    assert known.local_states[TABLE] == table_updates.TableState(7, 2.0)
+    known.record_read(TABLE, at(9), 2.0, rows=[])
+    assert known.local_states[TABLE] == table_updates.TableState(at(7), 2.0)
 
 
 def test_rows_from_the_leader_are_applied_once() -> None:
@@ -72,7 +87,7 @@
     taken: list[table_updates.Row] = []
     known.row_handlers[TABLE] = taken.extend
     for _ in range(2):
-        known.apply_update(TABLE, 6, 10.0, [row("e1", 6)])
+        known.apply_update(TABLE, at(6), 10.0, [row("e1", 6)])
     assert taken == [row("e1", 6)]
     assert known.read_cause(TABLE, 10.1) is None
 
@@ -81,16 +96,16 @@
     known = follower(revision=9)
     taken: list[table_updates.Row] = []
     known.row_handlers[TABLE] = taken.extend
-    known.apply_update(TABLE, 6, 10.0, [row("e1", 6)])
+    known.apply_update(TABLE, at(6), 10.0, [row("e1", 6)])
     assert taken == []
-    assert known.applied[TABLE] == 9
+    assert known.applied[TABLE] == at(9)
 
 
 def test_node_can_pass_on_received_rows_once_it_leads() -> None:
     known = follower()
     known.row_handlers[TABLE] = lambda rows: None
-    known.apply_update(TABLE, 6, 10.0, [row("e1", 6)])
-    assert known.logs[TABLE].since(5) == [row("e1", 6)]
+    known.apply_update(TABLE, at(6), 10.0, [row("e1", 6)])
+    assert known.logs[TABLE].since(at(5)) == [row("e1", 6)]
 
 
 @pytest.mark.parametrize(
@@ -102,34 +117,34 @@
     asked: int, keys: list[str] | None
 ) -> None:
     log = table_updates.RowLog()
-    log.restart(5)
+    log.restart(at(5))
     log.add([row("a", 6), row("b", 7)])
-    rows = log.since(asked)
+    rows = log.since(at(asked))
     assert (rows if rows is None else [r.key for r in rows]) == keys
 
 
 def test_log_is_bounded_and_reports_dropped_rows() -> None:
     log = table_updates.RowLog()
-    log.restart(0)
+    log.restart(at(0))
     log.add([row("a", n) for n in range(1, table_updates.MAX_ROWS + 3)])
     assert len(log.rows) == table_updates.MAX_ROWS
-    assert log.since(1) is None
-    assert log.since(2) is not None
+    assert log.since(at(1)) is None
+    assert log.since(at(2)) is not None
 
 
 def test_rows_above_the_size_limit_are_not_returned() -> None:
     log = table_updates.RowLog()
-    log.restart(5)
+    log.restart(at(5))
     log.add([row("config", 6, size=table_updates.MAX_UPDATE_BYTES)])
-    assert log.since(5) is None
+    assert log.since(at(5)) is None
 
 
 def test_change_without_a_row_makes_other_nodes_read() -> None:
     """An endpoint still missing after an outage is removed without a row."""
     known = follower(leading=True)
-    known.record_read(TABLE, 8, 1.0, rows=None)
-    assert known.logs[TABLE].since(5) is None
-    assert known.local_states[TABLE].revision == 8
+    known.record_read(TABLE, at(8), 1.0, rows=None)
+    assert known.logs[TABLE].since(at(5)) is None
+    assert known.local_states[TABLE].revision == at(8)
 
 
 @pytest.mark.parametrize(
@@ -149,8 +164,75 @@
     known = table_updates.TableUpdates(
         is_leader=lambda: False,
         known_within=lambda: datetime.timedelta(seconds=within),
+        store_era=make_era(),
     )
-    known.record_read(TABLE, 5, 0.0, rows=None)
-    known.apply_update(TABLE, 5, 10.0, None)
+    known.record_read(TABLE, at(5), 0.0, rows=None)
+    known.apply_update(TABLE, at(5), 10.0, None)
     age = leader_age + sync_interval
     assert known.read_cause(TABLE, 10.0 + age) is None
+
+
+def leader_of_era(
+    era: int, lines: list[tuple[str, object]] | None = None
+) -> table_updates.TableUpdates:
+    """Returns the updates of a node that has read the table in an era."""
+    kept = [] if lines is None else lines
+    known = follower()
+    known.store_era = revisions.StoreEra(
+        report=lambda event, fields: kept.append((event, fields.get("source")))
+    )
+    known.store_era.observe(era, source="store")
+    known.record_read(TABLE, at(5, era=era), 0.0, rows=None)
+    return known
+
+
+def test_table_is_read_again_in_a_new_era() -> None:
+    known = leader_of_era(1)
+    known.apply_update(TABLE, at(5, era=1), 10.0, [])
+    assert known.read_cause(TABLE, 10.1) is None
+    known.store_era.observe(2, source="store")
+    assert known.read_cause(TABLE, 10.1) is table_updates.ReadCause.ERA
+    known.record_read(TABLE, at(3, era=2), 10.2, rows=None)
+    assert known.applied[TABLE] == at(3, era=2)
+    known.apply_update(TABLE, at(3, era=2), 10.3, [])
+    assert known.read_cause(TABLE, 10.3) is None
+
+
+def test_new_era_is_learned_from_an_update_of_the_leader() -> None:
+    """Its rows are not applied to what was read in the earlier era."""
+    known = leader_of_era(1)
+    taken: list[table_updates.Row] = []
+    known.row_handlers[TABLE] = taken.extend
+    known.apply_update(TABLE, at(9, era=2), 10.0, [row("e1", 9, era=2)])
+    assert known.store_era.current == 2
+    assert taken == []
+    assert known.read_cause(TABLE, 10.1) is table_updates.ReadCause.ERA
+
+
+def test_update_of_an_earlier_era_is_refused_with_a_log_line() -> None:
+    lines: list[tuple[str, object]] = []
+    known = leader_of_era(2, lines)
+    taken: list[table_updates.Row] = []
+    known.row_handlers[TABLE] = taken.extend
+    known.apply_update(TABLE, at(9, era=1), 10.0, [row("e1", 9, era=1)])
+    assert taken == []
+    assert TABLE not in known.leader_states
+    assert lines == [("earlier_era_refused", "table_update")]
+
+
+def test_leader_that_is_behind_covers_no_table() -> None:
+    known = leader_of_era(1)
+    known.apply_update(TABLE, at(5, era=1), 10.0, [])
+    known.store_era.observe(2, source="store")
+    known.record_read(TABLE, at(5, era=2), 10.0, rows=None)
+    cause = known.read_cause(TABLE, 10.1)
+    assert cause is table_updates.ReadCause.OUTDATED
+
+
+def test_rows_of_an_earlier_era_are_not_passed_on() -> None:
+    known = leader_of_era(1)
+    known.record_read(TABLE, at(6, era=1), 1.0, rows=[row("e1", 6, era=1)])
+    known.record_read(TABLE, at(6, era=2), 2.0, rows=[row("e2", 6, era=2)])
+    assert known.logs[TABLE].since(at(5, era=1)) is None
+    assert known.logs[TABLE].since(at(5, era=2)) is None
+    assert known.logs[TABLE].since(at(6, era=2)) == []
