--- a/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/quarantine/quarantine.py
@@ -469,18 +469,23 @@
         What this node knows and the copy lacks is written again, by each node
         that knows it; what one has written is found there by the others.
         """
-        for fingerprint, known in self.cached_records.items():
-            if not self.view.is_expired(fingerprint):
-                # Contains the changes that were not written yet.
-                self.unwritten_changes[fingerprint] = [
-                    functools.partial(rules.restored, known=known)
-                ]
-        self.apply_snapshot(rows)
-        if self.unwritten_changes:
+        copied = dict(rows)
+        lacking = [
+            known
+            for fingerprint, known in self.cached_records.items()
+            if not self.view.is_expired(fingerprint)
+            and copied.get(fingerprint) != records.encode(known)
+        ]
+        for known in lacking:
+            # Contains the changes that were not written yet.
+            self.unwritten_changes[known.fingerprint] = [
+                functools.partial(rules.restored, known=known)
+            ]
+        self.apply_snapshot(copied.items())
+        if lacking:
             self.has_unwritten.set()
             self.report_event(
-                "quarantine_written_again",
-                {"records": len(self.unwritten_changes)},
+                "quarantine_written_again", {"records": len(lacking)}
             )
 
     def _apply_record(self, record: records.QuarantineRecord) -> None:
