--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/membership.py
@@ -259,7 +259,10 @@
             self.usage_counter.quotas.apply(
                 grants, began_at=began_at, now=loop.time()
             )
-            self.lease.observe_revision(self.leader_client.lease_revision)
+            self.lease.observe_revision(
+                self.leader_client.lease_revision,
+                token=self.leader_client.known_token,
+            )
             if self.failures >= FAILURES_BEFORE_LEASE_READ:
                 self.report("owner_reached", {"token": self.lease.token})
             self.failures = 0
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -26,6 +26,7 @@
 from _dogwoodhinge.fleet import order_lease
 from _dogwoodhinge.fleet import placement_queue
 from _dogwoodhinge.fleet import quota_ledger
+from _dogwoodhinge.fleet import revisions
 from _dogwoodhinge.fleet import shared_retry_budget
 from _dogwoodhinge.fleet import table_updates
 from _dogwoodhinge.quarantine import quarantine
@@ -148,9 +149,12 @@
         ),
         report=report,
     )
+    store_era = revisions.StoreEra(report=report)
+    store_era.on_change.append(lease.enter_era)
     known = table_updates.TableUpdates(
         is_leader=lambda: lease.is_held_here,
         known_within=lambda: datetime.timedelta(seconds=2),
+        store_era=store_era,
     )
     local = fleet_server.FleetServer(
         leader,
@@ -173,6 +177,7 @@
                 window=datetime.timedelta(seconds=8)
             ),
         ),
+        store_era=store_era,
     )
     client = leader_client.LeaderClient(
         node=f"{name}@127.0.0.1",
@@ -447,6 +452,11 @@
     assert node.leader.placement_queue.lead_time(60.0) < 0.25
 
 
+def at(number: int, *, era: int = 0) -> revisions.Revision:
+    """Returns a revision of a table."""
+    return revisions.Revision(era, number)
+
+
 async def test_rows_that_the_leader_reads_are_sent_to_the_others(
     node: Node,
     table: fleet_fakes.FakeLeaseTable,
@@ -459,14 +469,14 @@
     known.row_handlers["op"] = received_rows.extend
     await until(node.lease.may_order)
     now = asyncio.get_running_loop().time
-    node.leader_client.local.updates.record_read("op", 5, now(), rows=None)
-    known.record_read("op", 5, now(), rows=None)
+    node.leader_client.local.updates.record_read("op", at(5), now(), rows=None)
+    known.record_read("op", at(5), now(), rows=None)
     await other.start()
     rows = [
-        table_updates.Row("config", b"{}", 6),
-        table_updates.Row("gone", None, 6),
+        table_updates.Row("config", b"{}", at(6)),
+        table_updates.Row("gone", None, at(6)),
     ]
-    node.leader_client.local.updates.record_read("op", 6, now(), rows=rows)
+    node.leader_client.local.updates.record_read("op", at(6), now(), rows=rows)
     await until(lambda: received_rows)
     assert received_rows == rows
     assert known.read_cause("op", now()) is None
@@ -781,10 +791,12 @@
     local = node.leader_client.local
     now = asyncio.get_running_loop().time()
     large = table_updates.Row(
-        "config", b"x" * (table_updates.MAX_UPDATE_BYTES + 1), 5
+        "config",
+        b"x" * (table_updates.MAX_UPDATE_BYTES + 1),
+        revisions.Revision(0, 5),
     )
-    local.updates.record_read("op", 4, now, rows=None)
-    local.updates.record_read("op", 5, now, rows=[large])
+    local.updates.record_read("op", revisions.Revision(0, 4), now, rows=None)
+    local.updates.record_read("op", revisions.Revision(0, 5), now, rows=[large])
     known = [fleet_pb2.TableNews(table="op", revision=4)]
     replies = [
         local.sync(fleet_pb2.SyncRequest(node="n3", known=known, unread=unread))
