Callers' own interface: bodies, pauses and connections have limits

Callers that the operators do not control could hold a connection with half a head for an hour and half a body for ever, each body up to its limit, without a bound over all of them.

Change: bodies are read through one budget (--max_held_body_bytes); bodies that are still read are refused with 503 at its edge, and with 408 after a pause of 30 s (--body_pause_seconds). Metrics and log lines for each.

The tests were written with the change.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/callers/app.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/callers/app.py
@@ -23,12 +23,19 @@
 SHUTDOWN_TIMEOUT_SECONDS = 1.0  # a drain has already waited for requests
 UNKNOWN_PATH = "unknown"
 
+# What a connection buffers of a body that is not read yet.
+READ_BUFFER_BYTES = 16 * 1024
+
 
 def build(deps: Dependencies) -> web.Application:
     """Builds the application, to be served through `build_runner`."""
     app = web.Application(
         middlewares=[_request_middleware(deps)],
         client_max_size=deps.settings.max_body_bytes,
+        handler_args={
+            "read_bufsize": READ_BUFFER_BYTES,
+            "keepalive_timeout": deps.settings.keepalive_seconds,
+        },
     )
     generation = generation_handlers.GenerationHandlers(deps)
     services = service_handlers.ServiceHandlers(deps)
@@ -94,10 +101,14 @@
         request[authentication.REQUEST_ID] = request_id
         status = CLIENT_CLOSED_REQUEST
         try:
-            with self.deps.request_tracker.request():
+            with (
+                self.deps.request_tracker.request(),
+                self.deps.connection_limit.request(request.protocol),
+            ):
                 response = await self._handle(request, handler, request_id)
             status = response.status
         finally:
+            self.deps.body_reader.release(request)
             self.deps.request_tracker.count_finished(
                 _path_pattern(request), status
             )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/callers/generation_handlers.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/callers/generation_handlers.py
@@ -41,7 +41,9 @@
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Serves one generation, as a stream or as one response."""
         accepted = await authentication.accept_request(request, self.deps)
-        body = bodies.parse(request.path, await request.read())
+        body = bodies.parse(
+            request.path, await self.deps.body_reader.read(request)
+        )
         generation_request = _build_generation_request(accepted, body)
         await injection.reach(injection.Step.LIMIT)
         ticket = await self.deps.quotas.acquire(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/callers/problems.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/callers/problems.py
@@ -111,6 +111,31 @@
     )
 
 
+def no_memory(retry_after: datetime.timedelta) -> ProblemError:
+    """Returns the error for a body that there is no memory for."""
+    return ProblemError(
+        Problem(
+            status=503,
+            code="no_memory",
+            title="This node holds too many request bodies",
+            detail="retry the request; another node may serve it",
+            retry_after=retry_after,
+        )
+    )
+
+
+def body_paused() -> ProblemError:
+    """Returns the error for a body whose rest does not come."""
+    return ProblemError(
+        Problem(
+            status=408,
+            code="body_paused",
+            title="The rest of the body did not come",
+            detail="send the body without long pauses",
+        )
+    )
+
+
 def method_not_allowed(detail: str) -> ProblemError:
     """Returns the error for a method that the path does not support."""
     return ProblemError(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/callers/service_handlers.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/callers/service_handlers.py
@@ -31,7 +31,7 @@
         operation = _find_operation(accepted.contract, request)
         key = _idempotency_key(request, operation)
         content_type = _content_type(request)
-        body = await request.read()
+        body = await self.deps.body_reader.read(request)
         await injection.reach(injection.Step.LIMIT)
         ticket = await self.deps.quotas.acquire(
             accepted.contract, accepted.request_id
--- a/packages/dogwoodhinge/src/_dogwoodhinge/listeners.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/listeners.py
@@ -12,6 +12,7 @@
 from _dogwoodhinge import errors
 from _dogwoodhinge import settings as settings_lib
 from _dogwoodhinge import tls
+from _dogwoodhinge.callers import connection_limit as connection_limit_lib
 from _dogwoodhinge.membership import sessions
 from _dogwoodhinge.peer import server as peer_server
 
@@ -66,7 +67,9 @@
         caller: web.AppRunner,
         operator: web.AppRunner,
         peer: peer_server.PeerServer,
+        connection_limit: connection_limit_lib.ConnectionLimit,
     ) -> None:
+        self.connection_limit = connection_limit
         self.sockets = sockets
         self.caller = caller
         self.operator = operator
@@ -84,7 +87,14 @@
 
     async def open_caller(self) -> None:
         """Starts serving callers."""
-        await _open(self.caller, self.sockets.caller, self.http_tls)
+        await self.caller.setup()
+        site = LimitedSite(
+            self.caller,
+            self.sockets.caller,
+            ssl_context=self.http_tls,
+            connection_limit=self.connection_limit,
+        )
+        await site.start()
 
     async def stop_accepting_callers(self) -> None:
         """Stops accepting caller connections; open ones continue."""
@@ -103,6 +113,41 @@
             pass  # A peer keeps its connection open; the process exits anyway.
 
 
+@final
+class LimitedSite(web.SockSite):
+    """Serves a socket with a limit on its connections."""
+
+    def __init__(
+        self,
+        runner: web.AppRunner,
+        listening: socket.socket,
+        *,
+        connection_limit: connection_limit_lib.ConnectionLimit,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        super().__init__(
+            runner, listening, ssl_context=ssl_context, backlog=BACKLOG
+        )
+        self.connection_limit = connection_limit
+
+    async def start(self) -> None:
+        """Starts accepting."""
+        await web.BaseSite.start(self)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol,
+            sock=self._sock,
+            ssl=self._ssl_context,
+            backlog=self._backlog,
+        )
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        server = self._runner.server
+        assert server is not None
+        if self.connection_limit.make_room(server.connections):
+            return server()
+        return connection_limit_lib.DroppedConnection()
+
+
 async def _open(
     runner: web.AppRunner,
     listening: socket.socket,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/node.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/node.py
@@ -14,6 +14,8 @@
 from _dogwoodhinge import node_metrics
 from _dogwoodhinge import settings as settings_lib
 from _dogwoodhinge.callers import app as caller_app
+from _dogwoodhinge.callers import body_reader as body_reader_lib
+from _dogwoodhinge.callers import connection_limit as connection_limit_lib
 from _dogwoodhinge.config import guard
 from _dogwoodhinge.operators import app as operator_app
 from _dogwoodhinge.peer import server as peer_server
@@ -65,6 +67,10 @@
             clock=self.clock,
             settings=self.settings,
             decisions=components.decisions,
+            body_reader=body_reader_lib.BodyReader(self.settings),
+            connection_limit=connection_limit_lib.ConnectionLimit(
+                self.settings.max_connections
+            ),
         )
         self.request_tracker = self.caller_deps.request_tracker
         self.peer = peer_server.PeerServer(
@@ -85,6 +91,7 @@
             sockets=self.sockets,
             settings=self.settings,
             caller=caller_app.build_runner(caller_app.build(self.caller_deps)),
+            connection_limit=self.caller_deps.connection_limit,
             operator=web.AppRunner(self._operator_app(), access_log=None),
             peer=self.peer,
         )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/node_metrics.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/node_metrics.py
@@ -26,6 +26,41 @@
             *self._decisions(),
             *self._responses(),
             *self._engines(),
+            *self._callers(),
+        ]
+
+    def _callers(self) -> list[metrics.Sample]:
+        deps = self.node.caller_deps
+        limit = deps.connection_limit
+        return [
+            metrics.Sample(
+                "dogwoodhinge_body_bytes",
+                "memory that request bodies take",
+                deps.body_reader.memory.held_bytes,
+            ),
+            *(
+                metrics.Sample(
+                    "dogwoodhinge_bodies_refused_total",
+                    "requests refused while their bodies were read",
+                    count,
+                    {"reason": reason},
+                    is_counter=True,
+                )
+                for reason, count in deps.body_reader.refused.items()
+            ),
+            *(
+                metrics.Sample(
+                    "dogwoodhinge_connections_given_up_total",
+                    "connections closed because callers have too many",
+                    count,
+                    {"reason": reason},
+                    is_counter=True,
+                )
+                for reason, count in (
+                    ("replaced", limit.replaced),
+                    ("dropped", limit.dropped),
+                )
+            ),
         ]
 
     def _process(self) -> list[metrics.Sample]:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/settings.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/settings.py
@@ -120,6 +120,27 @@
         le=100_000_000,
         description="size of the largest request body",
     )
+    max_held_body_bytes: int = pydantic.Field(
+        default=64_000_000,
+        ge=1_000,
+        description="memory for the bodies of all requests together; beyond "
+        "it, requests are refused",
+    )
+    body_pause_seconds: PositiveSeconds = pydantic.Field(
+        default=30.0,
+        description="time without data after which a body is given up",
+    )
+    max_connections: int = pydantic.Field(
+        default=2_000,
+        ge=1,
+        description="connections of callers; for one more, the oldest without "
+        "a request is closed",
+    )
+    keepalive_seconds: PositiveSeconds = pydantic.Field(
+        default=75.0,
+        description="time without a whole request head after which a "
+        "connection is closed",
+    )
     queue_policy: str = pydantic.Field(
         default="deadline", description="owner's queue policy"
     )
--- a/packages/dogwoodhinge/testing/callers/conftest.py
+++ b/packages/dogwoodhinge/testing/callers/conftest.py
@@ -2,13 +2,16 @@
 
 from collections.abc import AsyncIterator
 import dataclasses
+import socket
 from typing import final
 
-from aiohttp import web
 import pytest
 
 from _dogwoodhinge import clock as clock_lib
+from _dogwoodhinge import listeners
 from _dogwoodhinge.callers import app as app_lib
+from _dogwoodhinge.callers import body_reader as body_reader_lib
+from _dogwoodhinge.callers import connection_limit as connection_limit_lib
 from _dogwoodhinge.callers import request_tracker as request_tracker_lib
 from _dogwoodhinge.config import contract as contract_lib
 from _dogwoodhinge.dispatch import generations as generations_lib
@@ -19,6 +22,9 @@
 
 API_KEY = "key-of-aduelas"
 MAX_BODY_BYTES = 2_000
+MAX_HELD_BODY_BYTES = 200_000
+MAX_CONNECTIONS = 20
+BODY_PAUSE_SECONDS = 1.0
 
 
 @final
@@ -36,6 +42,8 @@
     generations: generations_lib.Generations
     plain_calls: plain_calls_lib.PlainCalls
     contract: contract_lib.Contract
+    body_reader: body_reader_lib.BodyReader
+    connection_limit: connection_limit_lib.ConnectionLimit
     request_tracker: request_tracker_lib.RequestTracker = dataclasses.field(
         default_factory=request_tracker_lib.RequestTracker
     )
@@ -98,7 +106,11 @@
         table=table,
         clock=clock,
         services={endpoint.endpoint_id: service},
-        settings=dispatch_node.make_settings(max_body_bytes=MAX_BODY_BYTES),
+        settings=dispatch_node.make_settings(
+            max_body_bytes=MAX_BODY_BYTES,
+            max_held_body_bytes=MAX_HELD_BODY_BYTES,
+            body_pause_seconds=BODY_PAUSE_SECONDS,
+        ),
     )
     harness = Harness(
         url="",
@@ -111,6 +123,8 @@
         generations=node.generations,
         plain_calls=node.plain_calls,
         contract=contract,
+        body_reader=body_reader_lib.BodyReader(node.settings),
+        connection_limit=connection_limit_lib.ConnectionLimit(MAX_CONNECTIONS),
     )
     app = app_lib.build(
         app_lib.Dependencies(
@@ -124,12 +138,17 @@
             settings=node.settings,
             decisions=node.decisions,
             request_tracker=harness.request_tracker,
+            body_reader=harness.body_reader,
+            connection_limit=harness.connection_limit,
         )
     )
     runner = app_lib.build_runner(app)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
-    host, port = runner.addresses[0][:2]
+    listening = socket.create_server(("127.0.0.1", 0))
+    await listeners.LimitedSite(
+        runner, listening, connection_limit=harness.connection_limit
+    ).start()
+    host, port = listening.getsockname()[:2]
     harness.url = f"http://{host}:{port}"
     yield harness
     await runner.cleanup()
