--- a/packages/dogwoodhinge/testing/http1/test_connection_watch.py
+++ b/packages/dogwoodhinge/testing/http1/test_connection_watch.py
@@ -25,13 +25,18 @@
 
 
 class Harness:
-    """A server whose handler waits, or answers at once."""
+    """A server whose handler waits, or answers at once.
+
+    Attributes:
+        turns: turns of the event loop that each request takes.
+    """
 
     def __init__(self, server: Callable[..., server_lib.Server]) -> None:
         self.targets: list[bytes] = []
         self.cancelled: list[bytes] = []
         self.answer = b"done"
         self.waits = False
+        self.turns = 0
         self.events: list[str] = []
         self.server = server(
             handler=self.handle,
@@ -47,6 +52,8 @@
         try:
             if self.waits:
                 await asyncio.sleep(3600)
+            for _ in range(self.turns):
+                await asyncio.sleep(0)
         except asyncio.CancelledError:
             self.cancelled.append(request.target)
             raise
@@ -117,9 +124,10 @@
     bound = connection_lib.MAX_UNPARSED_BYTES + connection_lib.READ_BYTES
     most = 0
     async with running() as harness:
+        harness.turns = 4
         reader, writer = await harness.connect()
         for number in range(750):
-            writer.write(post(number, 60_000))
+            writer.write(post(number, 30_000))
         while len(harness.targets) < 750:
             for connection in harness.connections():
                 most = max(most, connection.parser.unparsed_bytes)
