--- a/packages/dogwoodctl/src/_dogwoodctl/commands.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/commands.py
@@ -55,6 +55,7 @@
         log_explanation.explain_log,
         needs_key=False,
     ),
+    Command("check", "FILE", fleet.check_file, needs_key=False),
     Command("fleet status", "", fleet.status, needs_key=False),
     Command("fleet engines", "", fleet.engines, needs_key=False),
     Command("fleet placement", "", fleet.placement, needs_key=False),
--- a/packages/dogwoodctl/src/_dogwoodctl/documents.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/documents.py
@@ -93,6 +93,15 @@
         raise errors.InvalidError("\n".join(lines)) from error
 
 
+def is_contract(text: str) -> bool:
+    """Returns whether a JSON document is a contract, valid or not."""
+    try:
+        document = json.loads(text)
+    except (ValueError, RecursionError):
+        return False
+    return isinstance(document, dict) and "customer" in document
+
+
 def read_revision(text: str) -> int | None:
     """Returns the revision in the comment that `contract get` writes."""
     match = _REVISION_LINE.search(text)
--- a/packages/dogwoodctl/src/_dogwoodctl/fleet.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/fleet.py
@@ -15,6 +15,9 @@
 from dogwoodhinge import models
 from dogwoodhinge import ports
 
+# Value of `--against` for the configuration that the platform's store has.
+IN_FORCE = "in-force"
+
 ENDPOINT_COLUMNS = ["ENDPOINT", "SERVICE", "ZONE", "ADDRESS", "STATE", "HOLDS"]
 
 
@@ -90,12 +93,53 @@
     """Validates a configuration file of the fleet."""
     data = documents.read_text(path).encode()
     async with _open_view(context) as view:
-        problem = view.check_configuration(data)
-    if problem:
-        raise errors.InvalidError(f"{path}: {problem}")
+        checked = view.check_configuration(data)
+    if checked.errors:
+        first = checked.errors[0]
+        raise errors.InvalidError(f"{path}: {first.place}: {first.text}")
     context.printer.print_result({"valid": True}, f"{path}: valid")
 
 
+async def check_file(context: context_lib.Context, path: str) -> None:
+    """Checks a contract or a configuration of the fleet before it is sent."""
+    text = documents.read_text(path)
+    if not text.lstrip().startswith("{") or documents.is_contract(text):
+        contract = documents.parse(text, name=path)
+        context.printer.print_result(
+            {"customer": contract.customer, "errors": [], "problems": []},
+            f"{path}: valid contract of {contract.customer}",
+        )
+        return
+    async with _open_view(context) as view:
+        base = await _read_base(context, view)
+        checked = view.check_configuration(text.encode(), base=base)
+    members = dataclasses.asdict(checked)
+    found = [*checked.errors, *checked.problems]
+    lines = [f"{path}: {found_.place}: {found_.text}" for found_ in found]
+    lines += [f"change: {change}" for change in checked.changes]
+    if found:
+        raise errors.InvalidError("\n".join(lines), details=members)
+    summary = f"{path}: version {checked.version}, nothing found"
+    context.printer.print_result(members, "\n".join([summary, *lines]))
+
+
+async def _read_base(
+    context: context_lib.Context, view: ports.FleetView
+) -> bytes | None:
+    """Returns the version that `--against` names."""
+    against = context.settings.against
+    if not against:
+        return None
+    if against != IN_FORCE:
+        return documents.read_text(against).encode()
+    try:
+        return await view.read_configuration()
+    except port_errors.TableError as error:
+        raise errors.UnreachableError(
+            f"{context.settings.fleet_url} does not answer: {error}"
+        ) from error
+
+
 async def _read_state(context: context_lib.Context) -> models.FleetState:
     async with _open_view(context) as view:
         try:
--- a/packages/dogwoodctl/src/_dogwoodctl/settings.py
+++ b/packages/dogwoodctl/src/_dogwoodctl/settings.py
@@ -33,6 +33,11 @@
         description="fleet commands: URL of the platform's store, in the form "
         "that the platform's plug-in expects",
     )
+    against: str = pydantic.Field(
+        default="",
+        description="check: file that a configuration of the fleet is compared "
+        "with, or in-force for the one in the platform's store",
+    )
     key_file: str = pydantic.Field(
         default="",
         description="file with the operator key; if unset, the key is taken "
--- a/packages/dogwoodhinge/src/dogwoodhinge/models.py
+++ b/packages/dogwoodhinge/src/dogwoodhinge/models.py
@@ -314,6 +314,38 @@
     held: Mapping[str, tuple[str, ...]]
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationProblem:
+    """Something that the operator of a fleet cannot have meant.
+
+    Attributes:
+        place: names of the parts that lead to it, joined by dots.
+        text: what is wrong; contains no keys.
+    """
+
+    place: str
+    text: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationCheck:
+    """What a check of a fleet's configuration found.
+
+    Attributes:
+        version: its version; None if it can't be applied.
+        errors: why nodes would not apply it.
+        problems: what nodes would apply, but is certainly not meant.
+        changes: lines with what differs from another version.
+    """
+
+    version: int | None
+    errors: tuple[ConfigurationProblem, ...] = ()
+    problems: tuple[ConfigurationProblem, ...] = ()
+    changes: tuple[str, ...] = ()
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FleetState:
--- a/packages/dogwoodhinge/src/dogwoodhinge/ports.py
+++ b/packages/dogwoodhinge/src/dogwoodhinge/ports.py
@@ -201,8 +201,22 @@
             TableUnavailableError: the table service did not answer.
         """
 
-    def check_configuration(self, data: bytes) -> str:
-        """Returns the error in a configuration, or "" if it is valid."""
+    async def read_configuration(self) -> bytes | None:
+        """Reads the configuration in force as it was written; None if none.
+
+        Raises:
+            TableUnavailableError: the table service did not answer.
+        """
+
+    def check_configuration(
+        self, data: bytes, *, base: bytes | None = None
+    ) -> models.ConfigurationCheck:
+        """Checks a configuration as the nodes would apply it.
+
+        Args:
+            data: the configuration.
+            base: another version that it is compared with.
+        """
 
     async def close(self) -> None:
         """Closes the connections."""
