Organisations get slots by their quotas while slots are short

Callers saw: one organisation that sends several times its usual, within its quota, took the slots of all others in the same proportion.

Change: fleet.fair_shares orders what waits, within a rank, by start-time fair queueing over the organisations; the weights are the quotas. Requests without an organisation are one; if all are, the order is unchanged. Metrics count slots and rejections by rank and organisation, place_refused names them.

--- a/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/queue_replay.py
+++ b/packages/dogwoodhinge-lab/src/dogwoodhinge_lab/queue_replay.py
@@ -100,6 +100,7 @@
                 at + kind.target,
                 at + kind.max_wait,
                 rank=kind.rank if ranked else 0,
+                organisation=kind.organisation if ranked else "",
             )
             if queue.will_time_out(waiter, now, lead_time=LEAD_SECONDS):
                 reject(name, at, waiter.rank)
@@ -110,7 +111,9 @@
             at, name = waiting[waiter]
             if free >= 1:
                 free -= 1
-                queue.record_assignment(now, rank=waiter.rank)
+                queue.record_assignment(
+                    now, rank=waiter.rank, organisation=waiter.organisation
+                )
                 if now + LEAD_SECONDS <= waiter.target_at:
                     served[name].on_time += 1
                 else:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -17,6 +17,7 @@
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
 from _dogwoodhinge.fleet import base_models as base_models_lib
 from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import fair_shares
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.fleet import late_orders as late_orders_lib
 from _dogwoodhinge.fleet import loader as loader_lib
@@ -213,9 +214,20 @@
             {
                 "adapter": str(request.key),
                 "version": request.version,
+                "rank": request.rank,
+                "organisation": request.organisation,
                 "avoid": ",".join(request.avoid),
                 "patience_ms": int(request.max_wait_seconds * 1000),
                 "waiting": len(self.placement_queue.queued_requests),
+                "waiting_by_rank": {
+                    str(rank): count
+                    for rank, count in sorted(
+                        self.placement_queue.waiting_by_rank().items()
+                    )
+                },
+                "ranks_behind": sorted(
+                    self.placement_queue.queue.shares.ranks_behind(now)
+                ),
                 "places_a_second": round(
                     self.placement_queue.queue.assignment_rate(now), 1
                 ),
@@ -361,6 +373,7 @@
                 self.shared_retry_budget.restart(self.leading_since)
                 self.report("placement_started", {"token": self.lease.token})
             self._drop_silent_nodes()
+            self._update_weights()
             self._track_engines()
             await self._load_base_models()
         elif self.leading:
@@ -376,6 +389,13 @@
         self.usage = usage_lib.Usage()
         self.report("placement_stopped", {"token": self.lease.token})
 
+    def _update_weights(self) -> None:
+        configuration = self.configuration()
+        if configuration is not None:
+            self.placement_queue.queue.slot_use.weights = fair_shares.weights(
+                configuration.organisations or ()
+            )
+
     def _drop_silent_nodes(self) -> None:
         now = asyncio.get_running_loop().time()
         for name in self.usage.nodes_silent_since(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
@@ -1,6 +1,7 @@
 """Queues placement requests without a free slot, and serves them in order."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 import datetime
 import random
@@ -49,7 +50,12 @@
 
 @final
 class PlacementQueue:
-    """The placement requests that wait at the leader."""
+    """The placement requests that wait at the leader.
+
+    Attributes:
+        given: number of slots given, by rank and organisation.
+        rejected: number of requests rejected for good, likewise.
+    """
 
     def __init__(
         self,
@@ -73,12 +79,20 @@
         ] = {}
         self.serving: asyncio.Task[None] | None = None
         self.loads: set[asyncio.Task[None]] = set()
+        self.given: collections.Counter[tuple[int, str]] = collections.Counter()
+        self.rejected: collections.Counter[tuple[int, str]] = (
+            collections.Counter()
+        )
 
     @property
     def has_waiters(self) -> bool:
         """True if a request is waiting."""
         return bool(self.queued_requests)
 
+    def waiting_by_rank(self) -> collections.Counter[int]:
+        """Returns the number of waiting requests of each rank."""
+        return collections.Counter(w.rank for w in self.queued_requests)
+
     async def wait(
         self, request: adapter_slots_lib.PlacementRequest
     ) -> adapter_slots_lib.Assignment:
@@ -93,6 +107,7 @@
             now + request.seconds_to_target,
             now + request.max_wait_seconds,
             rank=request.rank,
+            organisation=request.organisation,
         )
         lead_time = self.lead_time(now)
         if self.queue.will_time_out(waiter, now, lead_time=lead_time):
@@ -121,11 +136,19 @@
         self, request: adapter_slots_lib.PlacementRequest
     ) -> None:
         """Records that a slot was assigned without queueing."""
-        now = asyncio.get_running_loop().time()
-        self.queue.record_assignment(now, rank=request.rank)
+        self._record_assignment(request, asyncio.get_running_loop().time())
+
+    def _record_assignment(
+        self, request: adapter_slots_lib.PlacementRequest, now: float
+    ) -> None:
+        self.queue.record_assignment(
+            now, rank=request.rank, organisation=request.organisation
+        )
+        self.given[request.rank, request.organisation] += 1
 
     def _reject(self, waiter: wait_order.Waiter, now: float) -> NoFreeSlotError:
         self.queue.record_rejection(now, rank=waiter.rank)
+        self.rejected[waiter.rank, waiter.organisation] += 1
         return self._rejection(now, final=True)
 
     def _rejection(self, now: float, *, final: bool) -> NoFreeSlotError:
@@ -164,7 +187,7 @@
                 continue
             self._remove(waiter)
             if found.new:
-                self.queue.record_assignment(now, rank=request.rank)
+                self._record_assignment(request, now)
             if found.new or not found.ordered:
                 self._await_load(found, request, future)
             elif not future.done():
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_order.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_order.py
@@ -13,10 +13,11 @@
 3. deferrable requests: less urgent than another one that waits, and with time
    left to wait.
 
-Within each, the rank goes first. Requests of one rank that can be on time are
-ordered by the time that they have left, the longest first: if each got its slot
-at the last moment, none would be on time at peak load. Late requests are
-ordered by how long they may keep waiting.
+Within each, the rank goes first. Requests of one rank are served in turns of
+their organisations, see `fair_shares`. Those of one organisation that can be on
+time are ordered by the time that they have left, the longest first: if each got
+its slot at the last moment, none would be on time at peak load. Late requests
+are ordered by how long they may keep waiting.
 
 A rank of which a much smaller part is served than of all requests is treated
 like the most urgent one until it has caught up, so that none starves.
@@ -25,8 +26,11 @@
 from collections.abc import Iterable
 import dataclasses
 import datetime
+import itertools
 from typing import final
 
+from _dogwoodhinge.fleet import fair_shares
+
 # Time for which a prompt waits behind the prefill of others, in addition to the
 # adapter load and its own prefill; most wait less than this at peak load.
 PREFILL_WAIT_SECONDS = 0.05
@@ -57,11 +61,13 @@
         target_at: latest time at which its first event meets the target.
         wait_until: latest time until which it may wait for a slot.
         rank: its priority, 0 is the highest.
+        organisation: of its caller; empty if none.
     """
 
     target_at: float
     wait_until: float
     rank: int = 0
+    organisation: str = ""
 
 
 @final
@@ -152,6 +158,7 @@
     *,
     lead_time: float,
     ranks_behind: frozenset[int] = frozenset(),
+    slot_use: fair_shares.SlotUse | None = None,
 ) -> list[Waiter]:
     """Returns waiting requests in the order in which they are served.
 
@@ -160,6 +167,7 @@
         now: loop time.
         lead_time: seconds from a slot's assignment to the first event.
         ranks_behind: ranks that are treated like the most urgent one.
+        slot_use: what the organisations have used; None if they do not count.
     """
     waiting = list(waiters)
     if not waiting:
@@ -174,7 +182,19 @@
         deferrable = rank > first_rank and time_to_wait > DEFERRAL_SECONDS
         return (2 if deferrable else 0), rank, -waiter.target_at
 
-    return sorted(waiting, key=position)
+    if slot_use is None or len({w.organisation for w in waiting}) < 2:
+        return sorted(waiting, key=position)
+    positions = {waiter: position(waiter) for waiter in waiting}
+    waiting.sort(key=positions.__getitem__)
+    return [
+        waiter
+        for _, group in itertools.groupby(
+            waiting, key=lambda w: positions[w][:2]
+        )
+        for waiter in slot_use.in_turn(
+            list(group), now, organisation_of=lambda w: w.organisation
+        )
+    ]
 
 
 def _time_to_wait(waiter: Waiter, now: float, lead_time: float) -> float:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from typing import final
 
+from _dogwoodhinge.fleet import fair_shares
 from _dogwoodhinge.fleet import wait_order
 
 # Slots become free some tens of times a second at peak load, so one second
@@ -51,6 +52,7 @@
         nonempty_since: loop time from which requests have waited without a
             break; None while none waits.
         shares: which part of the requests of each rank is served.
+        slot_use: slots that the organisations were given.
     """
 
     def __init__(self) -> None:
@@ -59,6 +61,7 @@
         self.asked: collections.deque[tuple[float, int]] = collections.deque()
         self.nonempty_since: float | None = None
         self.shares = wait_order.ServedShares()
+        self.slot_use = fair_shares.SlotUse()
 
     def join(
         self, waiter: wait_order.Waiter, now: float, *, lead_time: float = 0.0
@@ -76,10 +79,13 @@
         if not self.waiters:
             self.nonempty_since = None
 
-    def record_assignment(self, now: float, *, rank: int = 0) -> None:
+    def record_assignment(
+        self, now: float, *, rank: int = 0, organisation: str = ""
+    ) -> None:
         """Records that a slot was assigned."""
         self.assigned_at.append(now)
         self.shares.record(rank, now, served=True)
+        self.slot_use.record(organisation, now)
 
     def record_rejection(self, now: float, *, rank: int = 0) -> None:
         """Records that a request was rejected for good."""
@@ -165,6 +171,7 @@
             now,
             lead_time=lead_time,
             ranks_behind=self.shares.ranks_behind(now),
+            slot_use=self.slot_use,
         )
 
     def _knows_rate(self, now: float) -> bool:
--- a/packages/dogwoodhinge/testing/fleet/test_loader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_loader.py
@@ -538,6 +538,8 @@
     late = asyncio.get_running_loop().time() + 60.0
     # Requests do not find the adapter, nor does the engine's report list it.
     bench.placement.record_absent("e1", KEY, late)
+    # As the leader does after an order that failed.
+    bench.placement.cancel_reservation(assignment, KEY, late)
     bench.placement.reconcile("e1", {}, (), before=late + 1, now=late + 1)
     carry_out_late(bench.engine, KEY)
     bench.engine.max_loading = 4
--- a/packages/dogwoodhinge/testing/fleet/test_placement_queue.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement_queue.py
@@ -1,6 +1,7 @@
 """Tests of the placement queue: requests that wait at the leader."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -160,3 +161,21 @@
     ]
     await asyncio.gather(*tasks, return_exceptions=True)
     assert adapter_slots.find_calls < 10
+
+
+async def test_outcomes_are_counted_by_rank_and_organisation(
+    queue: placement_queue.PlacementQueue, adapter_slots: FakeSlots
+) -> None:
+    requests = [
+        dataclasses.replace(
+            make_request("a1", max_wait=0.2), rank=2, organisation="acme"
+        ),
+        dataclasses.replace(make_request("a2", target=0.9), rank=0),
+    ]
+    tasks = [asyncio.create_task(queue.wait(request)) for request in requests]
+    await asyncio.sleep(0.05)
+    assert queue.waiting_by_rank() == {0: 1, 2: 1}
+    adapter_slots.free = 1
+    await asyncio.gather(*tasks, return_exceptions=True)
+    assert queue.given == {(0, ""): 1}
+    assert queue.rejected == {(2, "acme"): 1}
