Waiting requests of one adapter go together with one load

Callers saw: while slots were short, a request stayed in the queue although its adapter was loaded or on its way by then: once the slots had run out, the pass skipped all others with the same engines.

Change: such requests are served in the same pass. Within a rank, adapters that more requests wait for go first. place_refused says why engines take no adapter (closed).

test_requests_of_one_adapter_go_together_with_one_load: seen to fail without the check (the last request still waited).

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -110,6 +110,7 @@
         self.placement_queue = placement_queue_lib.PlacementQueue(
             find=self._find,
             load=self._load_of,
+            is_held=self._is_held,
             lead_time=self._expected_delay,
             rng=random.Random(),
         )
@@ -146,9 +147,7 @@
             self.placement.record_absent(request.absent_from, request.key, now)
         if request.version > self.placement.newest.get(request.key, 0):
             self.placement.declare(request.key, request.version)
-        if self.placement_queue.has_waiters and not self.placement.is_held(
-            request.key, request.version, avoid=request.avoid
-        ):
+        if self.placement_queue.has_waiters and not self._is_held(request):
             return await self._wait(request)
         result = self._find(request, now)
         if isinstance(result, adapter_slots_lib.NoFreeSlot):
@@ -181,6 +180,11 @@
             self.placement.record_assigned_use(request.node, request.key)
         return found
 
+    def _is_held(self, request: adapter_slots_lib.PlacementRequest) -> bool:
+        return self.placement.is_held(
+            request.key, request.version, avoid=request.avoid
+        )
+
     def _expected_delay(self, now: float) -> float:
         """Returns the expected seconds from assignment to first event."""
         return (
@@ -234,6 +238,7 @@
                 "retry_after_ms": int(retry_after.total_seconds() * 1000),
                 "count": self.rejected,
                 "engines": self._count_engines(request.key.model, now),
+                "closed": self.placement.count_closed(self.candidates, now),
                 "places": self.placement.count_slots(now),
             },
         )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -589,6 +589,23 @@
             if p.state not in adapter_slots_lib.UNSETTLED and p.ordered
         ]
 
+    def count_closed(
+        self, candidates: Iterable[adapter_slots_lib.Candidate], now: float
+    ) -> collections.Counter[str]:
+        """Returns how many engines take no adapter now, by why."""
+        reasons: collections.Counter[str] = collections.Counter()
+        for candidate in candidates:
+            engine = self.engines.get(candidate.engine_id)
+            if engine is None or self._opening(engine, candidate, now).is_open:
+                continue
+            if engine.loading(now) >= MAX_LOADS_IN_FLIGHT:
+                reasons["loading"] += 1
+            elif engine.has_waiting_unload:
+                reasons["unloading"] += 1
+            else:
+                reasons["in_use"] += 1
+        return reasons
+
     def count_slots(self, now: float) -> dict[str, int]:
         """Returns the number of slots of all engines, by use.
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
@@ -62,11 +62,13 @@
         *,
         find: FindSlot,
         load: LoadAdapter,
+        is_held: Callable[[adapter_slots_lib.PlacementRequest], bool],
         lead_time: Callable[[float], float],
         rng: random.Random,
     ) -> None:
         self.find = find
         self.load = load
+        self.is_held = is_held
         self.lead_time = lead_time
         self.rng = rng
         self.queue = wait_queue.WaitQueue()
@@ -108,6 +110,7 @@
             now + request.max_wait_seconds,
             rank=request.rank,
             organisation=request.organisation,
+            adapter=request.key,
         )
         lead_time = self.lead_time(now)
         if self.queue.will_time_out(waiter, now, lead_time=lead_time):
@@ -172,14 +175,15 @@
         """Assigns the free slots in queue order.
 
         If a request that needs a new slot finds none, the other requests that
-        may use the same engines would find none either and are skipped.
+        may use the same engines would find none either and are skipped, except
+        those whose adapter is held or on its way by now.
         """
         exhausted: set[tuple[str, frozenset[str]]] = set()
         lead_time = self.lead_time(now)
         for waiter in self.queue.in_order(now, lead_time=lead_time):
             request, future = self.queued_requests[waiter]
             eligibility = (request.key.model, request.avoid)
-            if eligibility in exhausted:
+            if eligibility in exhausted and not self.is_held(request):
                 continue
             found = self.find(request, now)
             if isinstance(found, adapter_slots_lib.NoFreeSlot):
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_order.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_order.py
@@ -15,14 +15,16 @@
 
 Within each, the rank goes first. Requests of one rank are served in turns of
 their organisations, see `fair_shares`. Those of one organisation that can be on
-time are ordered by the time that they have left, the longest first: if each got
-its slot at the last moment, none would be on time at peak load. Late requests
-are ordered by how long they may keep waiting.
+time go in the order of how many of them wait for their adapter, since one slot
+serves all of these; then the one with the most time left goes first: if each
+got its slot at the last moment, none would be on time at peak load. Late
+requests are ordered by how long they may keep waiting.
 
 A rank of which a much smaller part is served than of all requests is treated
 like the most urgent one until it has caught up, so that none starves.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import datetime
@@ -30,6 +32,7 @@
 from typing import final
 
 from _dogwoodhinge.fleet import fair_shares
+from _dogwoodhinge.fleet import models
 
 # Time for which a prompt waits behind the prefill of others, in addition to the
 # adapter load and its own prefill; most wait less than this at peak load.
@@ -62,12 +65,14 @@
         wait_until: latest time until which it may wait for a slot.
         rank: its priority, 0 is the highest.
         organisation: of its caller; empty if none.
+        adapter: what the slot is for; None if only this request is for it.
     """
 
     target_at: float
     wait_until: float
     rank: int = 0
     organisation: str = ""
+    adapter: models.AdapterKey | None = None
 
 
 @final
@@ -173,14 +178,22 @@
     if not waiting:
         return []
     first_rank = min(waiter.rank for waiter in waiting)
-
-    def position(waiter: Waiter) -> tuple[int, int, float]:
+    on_time = collections.Counter(
+        waiter.adapter
+        for waiter in waiting
+        if waiter.adapter is not None
+        and not is_late(waiter, now, lead_time=lead_time)
+    )
+
+    def position(waiter: Waiter) -> tuple[int, int, float, float]:
         rank = first_rank if waiter.rank in ranks_behind else waiter.rank
         time_to_wait = _time_to_wait(waiter, now, lead_time)
         if time_to_wait < 0:
-            return 1, rank, waiter.wait_until
+            return 1, rank, 0, waiter.wait_until
         deferrable = rank > first_rank and time_to_wait > DEFERRAL_SECONDS
-        return (2 if deferrable else 0), rank, -waiter.target_at
+        group = 2 if deferrable else 0
+        sharing = on_time[waiter.adapter] if waiter.adapter else 1
+        return group, rank, -sharing, -waiter.target_at
 
     if slot_use is None or len({w.organisation for w in waiting}) < 2:
         return sorted(waiting, key=position)
--- a/packages/dogwoodhinge/testing/fleet/test_placement_queue.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement_queue.py
@@ -28,6 +28,7 @@
     def __init__(self) -> None:
         self.free = 0
         self.loaded: list[str] = []
+        self.held: set[str] = set()
         self.load_fails = False
         self.may_load = asyncio.Event()
         self.may_load.set()
@@ -38,9 +39,14 @@
     ) -> adapter_slots_lib.Assignment | adapter_slots_lib.NoFreeSlot:
         """Assigns a free slot."""
         self.find_calls += 1
+        if request.key.adapter in self.held:
+            return adapter_slots_lib.Assignment(
+                engine_id="e1", version=0, ready_at=now
+            )
         if not self.free:
             return adapter_slots_lib.NoFreeSlot()
         self.free -= 1
+        self.held.add(request.key.adapter)
         return adapter_slots_lib.Assignment(
             engine_id="e1", version=0, ready_at=now, new=True
         )
@@ -68,6 +74,7 @@
     return placement_queue.PlacementQueue(
         find=adapter_slots.find,
         load=adapter_slots.load,
+        is_held=lambda request: request.key.adapter in adapter_slots.held,
         lead_time=lambda now: 0.3,
         rng=random.Random(1),
     )
@@ -179,3 +186,26 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     assert queue.given == {(0, ""): 1}
     assert queue.rejected == {(2, "acme"): 1}
+
+
+async def test_requests_of_one_adapter_go_together_with_one_load(
+    queue: placement_queue.PlacementQueue, adapter_slots: FakeSlots
+) -> None:
+    """Regression: the later ones were skipped once slots had run out.
+
+    The one with more time left is served before those of another adapter, so
+    that the slots have run out when it is the turn of the last one.
+    """
+    requests = [
+        make_request("a1", target=0.9),
+        make_request("a1", target=0.7),
+        make_request("a2", target=0.8),
+        make_request("a1"),
+    ]
+    tasks = [asyncio.create_task(queue.wait(request)) for request in requests]
+    await asyncio.sleep(0.05)
+    adapter_slots.free = 1
+    await asyncio.sleep(0.1)
+    assert [task.done() for task in tasks] == [True, True, False, True]
+    assert adapter_slots.loaded == ["a1"]
+    tasks[2].cancel()
--- a/packages/dogwoodhinge/testing/fleet/test_wait_order.py
+++ b/packages/dogwoodhinge/testing/fleet/test_wait_order.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import wait_order
 
 LEAD_SECONDS = 0.3
@@ -82,3 +83,14 @@
     record(shares, 2, 0, 10)
     assert shares.ranks_behind(1.0) == {2}
     assert not shares.ranks_behind(30.0)
+
+
+def test_adapter_that_more_requests_wait_for_goes_first() -> None:
+    popular, rare = (models.AdapterKey("base", name) for name in ("a1", "a2"))
+    waiters = [
+        wait_order.Waiter(0.7, 1.0, adapter=rare),
+        wait_order.Waiter(0.5, 1.0, adapter=popular),
+        wait_order.Waiter(0.6, 1.0, adapter=popular),
+    ]
+    order = wait_order.in_order(waiters, 0.0, lead_time=LEAD_SECONDS)
+    assert order == [waiters[2], waiters[1], waiters[0]]
