The estimate of load times falls by probes

Callers saw: requests sent before the end of their adapter's load.

Cause: the estimate fell by 2% with each load ordered, also before the requests of earlier ones could tell whether they had ended, and also while the lower bounds that other loads had shown protected it: by the next lull, for which there were no bounds, it had fallen to 0.1 s.

Change: one load in ten is a probe, expected to end 5 to 20% sooner. The estimate falls to it if no request of it was early within the time in which that would be known; a failed probe makes the next ones rarer and does not raise the estimate.

Tests: the replay of a crest of 160 loads a second had 46 of 480 requests too early before, 7 now. test_single_lost_load...: its 200 orders came at one moment, in which nothing can be known; they are now 50 ms apart, the bound is unchanged. test_few_requests...: 41 requests were early without the margin, now 33, so that 'before' is no longer at least 40; the bound that followed from it (20 with the margin) is asserted instead. test_loads_are_told_once...: counts what was sent before the order only (34 and 38 of 40 on, now 0), since it reported no refusals. test_no_engine_exceeds... failed once beside load and passed when run again and with 1,500 examples without a deadline.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/load_times.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/load_times.py
@@ -6,12 +6,16 @@
 refused because the adapter was not ready yet.
 
 Each such early request gives a lower bound on the duration. The estimate rises
-to that bound at once and decays slowly, so that it recovers after a burst. It
-does not fall below what several early requests have shown recently with no more
-loads in flight than now; otherwise it would repeatedly decay until a request is
-refused.
+to that bound at once. It does not fall below what several early requests have
+shown recently with no more loads in flight than now.
+
+It falls by probes: a few loads are expected to end a little sooner than the
+others, and if none of their requests is early, so are all later ones. Many more
+loads are ordered than probes before the outcome is known, so only the probes
+can be early.
 """
 
+import collections
 import dataclasses
 import heapq
 from typing import final
@@ -23,11 +27,24 @@
 # from the store.
 MEMORY_LOAD_FACTOR = 0.12
 
-# The estimate decays by this factor with each load, after LOADS_BEFORE_DECAY
-# loads without an early request: it recovers from a burst within about a
-# hundred loads.
-LOAD_DECAY = 0.98
-LOADS_BEFORE_DECAY = 30
+# One in this many loads is a probe; in the longest interval after probes whose
+# requests were early.
+LOADS_PER_PROBE = 10
+MAX_LOADS_PER_PROBE = 160
+
+# By which part of the estimate the first probe is shorter; twice as much after
+# each probe that ended in time, so that the estimate recovers from a burst
+# within some seconds.
+PROBE_STEP = 0.05
+MAX_PROBE_STEP = 0.2
+
+# The request of a probe is sent after this multiple of its expected duration.
+PROBE_MARGIN_FACTOR = 1.3
+
+# Time after the expected end of a probe by which an early request is known: it
+# is sent, refused and reported to the leader.
+PROBE_OUTCOME_DELAY_SECONDS = 0.1
+
 MIN_LOAD_SECONDS = 0.1
 
 # Limits by how much a single load can raise the estimate, because the engine
@@ -62,20 +79,42 @@
     in_flight: int
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """A load that was expected to end sooner than others.
+
+    Attributes:
+        ordered_at: loop time of its order.
+        seconds: its expected duration.
+        known_at: loop time at which its outcome is known.
+    """
+
+    ordered_at: float
+    seconds: float
+    known_at: float
+
+
 @final
 class LoadTimes:
     """The estimate of the duration of the next load.
 
     Attributes:
         seconds: estimated duration, without the recent lower bounds.
-        loads_since_early_request: loads ordered since the last early request.
+        probes: probes whose outcome is not known yet, oldest first.
+        loads_per_probe: current interval between probes, in loads.
+        loads_since_probe: loads ordered since the last probe.
+        probe_step: by which part of the estimate the next probe is shorter.
         lower_bounds: recent lower bounds by the loop time of the order.
         expected_ends: heap of the expected end times of the loads in flight.
     """
 
     def __init__(self) -> None:
         self.seconds = INITIAL_LOAD_SECONDS
-        self.loads_since_early_request = 0
+        self.probes: collections.deque[Probe] = collections.deque()
+        self.loads_per_probe = LOADS_PER_PROBE
+        self.loads_since_probe = 0
+        self.probe_step = PROBE_STEP
         # Keyed by the order time, so that a load counts once however many
         # requests arrive early. The oldest observation comes first.
         self.lower_bounds: dict[float, LowerBound] = {}
@@ -92,13 +131,49 @@
         seconds = max(self.seconds, self._lower_bound(now))
         return seconds if from_store else seconds * MEMORY_LOAD_FACTOR
 
-    def record_order(self, now: float) -> None:
-        """Records that a load from the store was ordered."""
-        heapq.heappush(self.expected_ends, now + self.expected(now))
-        self.loads_since_early_request += 1
-        if self.loads_since_early_request > LOADS_BEFORE_DECAY:
-            decayed = self.seconds * LOAD_DECAY
-            self.seconds = max(MIN_LOAD_SECONDS, decayed)
+    def record_order(self, now: float) -> float:
+        """Records that a load from the store was ordered.
+
+        Returns:
+            The seconds that it is expected to take, less for a probe.
+        """
+        self._end_probes(now)
+        expected = self.expected(now)
+        self.loads_since_probe += 1
+        probed = self.seconds * (1 - self.probe_step)
+        if self.loads_since_probe >= self.loads_per_probe and probed >= max(
+            MIN_LOAD_SECONDS, self._lower_bound(now)
+        ):
+            self.loads_since_probe = 0
+            expected = probed
+            known_at = (
+                now
+                + expected * PROBE_MARGIN_FACTOR
+                + PROBE_OUTCOME_DELAY_SECONDS
+            )
+            self.probes.append(Probe(now, expected, known_at))
+        heapq.heappush(self.expected_ends, now + expected)
+        return expected
+
+    def _end_probes(self, now: float) -> None:
+        """Lowers the estimate to that of probes that have ended in time."""
+        while self.probes and self.probes[0].known_at <= now:
+            probe = self.probes.popleft()
+            self.seconds = min(self.seconds, probe.seconds)
+            self.loads_per_probe = LOADS_PER_PROBE
+            self.probe_step = min(MAX_PROBE_STEP, 2 * self.probe_step)
+
+    def _fail_probe(self, ordered_at: float) -> bool:
+        """Ends a probe whose request was early; returns whether it was one."""
+        for probe in self.probes:
+            if probe.ordered_at == ordered_at:
+                self.probes.remove(probe)
+                self.probe_step = PROBE_STEP
+                self.loads_per_probe = min(
+                    MAX_LOADS_PER_PROBE, 2 * self.loads_per_probe
+                )
+                return True
+        return False
 
     def record_early_request(
         self, ordered_at: float, *, expected: float, in_flight: int, now: float
@@ -111,10 +186,14 @@
             in_flight: number of loads in flight at that time.
             now: loop time.
         """
+        if self._fail_probe(ordered_at):
+            return
         elapsed = now - ordered_at
         bound = min(elapsed + EARLY_MARGIN_SECONDS, MAX_RISE_FACTOR * expected)
         self.seconds = max(self.seconds, bound)
-        self.loads_since_early_request = 0
+        # Loads take longer now than when these probes were ordered.
+        self.probes.clear()
+        self.probe_step = PROBE_STEP
         self.lower_bounds.pop(ordered_at, None)
         # Loads ordered later slow this one down as well.
         most_in_flight = max(in_flight, self.in_flight(now))
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement.py
@@ -355,7 +355,7 @@
         slot.expected = self.load_times.expected(at, from_store=slot.from_store)
         if slot.from_store:
             slot.others_in_flight = self.load_times.in_flight(at)
-            self.load_times.record_order(at)
+            slot.expected = self.load_times.record_order(at)
         margin_factor = STORE_LOAD_MARGIN_FACTOR if slot.from_store else 1.0
         slot.ready_at = at + slot.expected * margin_factor
         engine.record_in_memory(key)
