--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader.py
@@ -17,6 +17,7 @@
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
 from _dogwoodhinge.fleet import base_models as base_models_lib
 from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import fair_shares
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.fleet import late_orders as late_orders_lib
 from _dogwoodhinge.fleet import loader as loader_lib
@@ -109,6 +110,7 @@
         self.placement_queue = placement_queue_lib.PlacementQueue(
             find=self._find,
             load=self._load_of,
+            is_held=self._is_held,
             lead_time=self._expected_delay,
             rng=random.Random(),
         )
@@ -145,9 +147,7 @@
             self.placement.record_absent(request.absent_from, request.key, now)
         if request.version > self.placement.newest.get(request.key, 0):
             self.placement.declare(request.key, request.version)
-        if self.placement_queue.has_waiters and not self.placement.is_held(
-            request.key, request.version, avoid=request.avoid
-        ):
+        if self.placement_queue.has_waiters and not self._is_held(request):
             return await self._wait(request)
         result = self._find(request, now)
         if isinstance(result, adapter_slots_lib.NoFreeSlot):
@@ -180,6 +180,11 @@
             self.placement.record_assigned_use(request.node, request.key)
         return found
 
+    def _is_held(self, request: adapter_slots_lib.PlacementRequest) -> bool:
+        return self.placement.is_held(
+            request.key, request.version, avoid=request.avoid
+        )
+
     def _expected_delay(self, now: float) -> float:
         """Returns the expected seconds from assignment to first event."""
         return (
@@ -213,15 +218,27 @@
             {
                 "adapter": str(request.key),
                 "version": request.version,
+                "rank": request.rank,
+                "organisation": request.organisation,
                 "avoid": ",".join(request.avoid),
                 "patience_ms": int(request.max_wait_seconds * 1000),
                 "waiting": len(self.placement_queue.queued_requests),
+                "waiting_by_rank": {
+                    str(rank): count
+                    for rank, count in sorted(
+                        self.placement_queue.waiting_by_rank().items()
+                    )
+                },
+                "ranks_behind": sorted(
+                    self.placement_queue.queue.shares.ranks_behind(now)
+                ),
                 "places_a_second": round(
                     self.placement_queue.queue.assignment_rate(now), 1
                 ),
                 "retry_after_ms": int(retry_after.total_seconds() * 1000),
                 "count": self.rejected,
                 "engines": self._count_engines(request.key.model, now),
+                "closed": self.placement.count_closed(self.candidates, now),
                 "places": self.placement.count_slots(now),
             },
         )
@@ -361,6 +378,7 @@
                 self.shared_retry_budget.restart(self.leading_since)
                 self.report("placement_started", {"token": self.lease.token})
             self._drop_silent_nodes()
+            self._update_weights()
             self._track_engines()
             await self._load_base_models()
         elif self.leading:
@@ -376,6 +394,13 @@
         self.usage = usage_lib.Usage()
         self.report("placement_stopped", {"token": self.lease.token})
 
+    def _update_weights(self) -> None:
+        configuration = self.configuration()
+        if configuration is not None:
+            self.placement_queue.queue.slot_use.weights = fair_shares.weights(
+                configuration.organisations or ()
+            )
+
     def _drop_silent_nodes(self) -> None:
         now = asyncio.get_running_loop().time()
         for name in self.usage.nodes_silent_since(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
@@ -1,6 +1,7 @@
 """Queues placement requests without a free slot, and serves them in order."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 import datetime
 import random
@@ -49,18 +50,25 @@
 
 @final
 class PlacementQueue:
-    """The placement requests that wait at the leader."""
+    """The placement requests that wait at the leader.
+
+    Attributes:
+        given: number of slots given, by rank and organisation.
+        rejected: number of requests rejected for good, likewise.
+    """
 
     def __init__(
         self,
         *,
         find: FindSlot,
         load: LoadAdapter,
+        is_held: Callable[[adapter_slots_lib.PlacementRequest], bool],
         lead_time: Callable[[float], float],
         rng: random.Random,
     ) -> None:
         self.find = find
         self.load = load
+        self.is_held = is_held
         self.lead_time = lead_time
         self.rng = rng
         self.queue = wait_queue.WaitQueue()
@@ -73,12 +81,20 @@
         ] = {}
         self.serving: asyncio.Task[None] | None = None
         self.loads: set[asyncio.Task[None]] = set()
+        self.given: collections.Counter[tuple[int, str]] = collections.Counter()
+        self.rejected: collections.Counter[tuple[int, str]] = (
+            collections.Counter()
+        )
 
     @property
     def has_waiters(self) -> bool:
         """True if a request is waiting."""
         return bool(self.queued_requests)
 
+    def waiting_by_rank(self) -> collections.Counter[int]:
+        """Returns the number of waiting requests of each rank."""
+        return collections.Counter(w.rank for w in self.queued_requests)
+
     async def wait(
         self, request: adapter_slots_lib.PlacementRequest
     ) -> adapter_slots_lib.Assignment:
@@ -93,6 +109,8 @@
             now + request.seconds_to_target,
             now + request.max_wait_seconds,
             rank=request.rank,
+            organisation=request.organisation,
+            adapter=request.key,
         )
         lead_time = self.lead_time(now)
         if self.queue.will_time_out(waiter, now, lead_time=lead_time):
@@ -121,11 +139,19 @@
         self, request: adapter_slots_lib.PlacementRequest
     ) -> None:
         """Records that a slot was assigned without queueing."""
-        now = asyncio.get_running_loop().time()
-        self.queue.record_assignment(now, rank=request.rank)
+        self._record_assignment(request, asyncio.get_running_loop().time())
+
+    def _record_assignment(
+        self, request: adapter_slots_lib.PlacementRequest, now: float
+    ) -> None:
+        self.queue.record_assignment(
+            now, rank=request.rank, organisation=request.organisation
+        )
+        self.given[request.rank, request.organisation] += 1
 
     def _reject(self, waiter: wait_order.Waiter, now: float) -> NoFreeSlotError:
         self.queue.record_rejection(now, rank=waiter.rank)
+        self.rejected[waiter.rank, waiter.organisation] += 1
         return self._rejection(now, final=True)
 
     def _rejection(self, now: float, *, final: bool) -> NoFreeSlotError:
@@ -149,14 +175,15 @@
         """Assigns the free slots in queue order.
 
         If a request that needs a new slot finds none, the other requests that
-        may use the same engines would find none either and are skipped.
+        may use the same engines would find none either and are skipped, except
+        those whose adapter is held or on its way by now.
         """
         exhausted: set[tuple[str, frozenset[str]]] = set()
         lead_time = self.lead_time(now)
         for waiter in self.queue.in_order(now, lead_time=lead_time):
             request, future = self.queued_requests[waiter]
             eligibility = (request.key.model, request.avoid)
-            if eligibility in exhausted:
+            if eligibility in exhausted and not self.is_held(request):
                 continue
             found = self.find(request, now)
             if isinstance(found, adapter_slots_lib.NoFreeSlot):
@@ -164,7 +191,7 @@
                 continue
             self._remove(waiter)
             if found.new:
-                self.queue.record_assignment(now, rank=request.rank)
+                self._record_assignment(request, now)
             if found.new or not found.ordered:
                 self._await_load(found, request, future)
             elif not future.done():
