Engines are chosen by what they answer with: learned paces, held prompts, copies

At the crest the engines with a copy of the adapter in demand ran up to 41 requests at once and others 8: 74 requests of one adapter on three engines.

Cause: every engine was assumed to read 32,000 prompt tokens a second; all nodes with the same view chose the same engine; what an engine holds of a prompt was not considered; a copy of an adapter was only asked for by a request that then waited for it, without a wait at the leader, so none came while other requests waited for places.

Change: - fleet/engine_pace.py learns for each service and engine, from this node's answers, the speed of reading, the time of an answer besides, the length of a run, and how many times the usual time an engine takes. - fleet/engine_selection.py rates an engine by the time until it answers, and compares two, drawn at random. - fleet/held_parts.py and fleet/prompt_cache.py estimate which beginnings of prompts an engine holds; the one that holds most is compared too. What is held counts neither as unread nor for the pacing of prompts. While slots are short, copies are asked for only if all holders are full.

The fake call of test_prefill_pacing gives the unread tokens that are now read.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/answers.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/answers.py
@@ -42,14 +42,22 @@
     Attributes:
         priority: its priority on the engine, 0 is the highest.
         sent_at: loop time at which it was sent.
-        backlog: seconds that the engine may need for prompts sent before.
+        unread_tokens: tokens of its prompt and of those sent before it that
+            the engine had not read then.
+        backlog: seconds that the engine may need for these.
         answered: whether the head of the response has arrived.
     """
 
     def __init__(
-        self, *, priority: int, sent_at: float, backlog: float
+        self,
+        *,
+        priority: int,
+        sent_at: float,
+        unread_tokens: int,
+        backlog: float,
     ) -> None:
         self.priority = priority
+        self.unread_tokens = unread_tokens
         self.sent_at = sent_at
         self.backlog = backlog
         self.answered = False
@@ -83,13 +91,19 @@
         self.probe_delay = FIRST_PROBE_DELAY.total_seconds()
 
     def begin(
-        self, now: float, *, backlog: float, priority: int = 0
+        self,
+        now: float,
+        *,
+        backlog: float,
+        priority: int = 0,
+        unread_tokens: int = 0,
     ) -> Exchange:
         """Records that a request is sent; `end` must be called once.
 
         Args:
             now: loop time.
-            backlog: seconds that the engine needs for prompts sent before.
+            backlog: seconds that the engine needs for its unread prompts.
+            unread_tokens: tokens of these prompts.
             priority: priority of the request, 0 is the highest.
         """
         if not self.in_progress:
@@ -97,6 +111,7 @@
         exchange = Exchange(
             priority=priority,
             sent_at=now,
+            unread_tokens=unread_tokens,
             backlog=min(backlog, MAX_BACKLOG.total_seconds()),
         )
         self.in_progress[exchange] = None
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -6,7 +6,9 @@
 from typing import final
 
 from _dogwoodhinge.fleet import answers as answers_lib
+from _dogwoodhinge.fleet import engine_pace
 from _dogwoodhinge.fleet import health as health_lib
+from _dogwoodhinge.fleet import held_parts as held_parts_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import pause as pause_lib
 
@@ -65,12 +67,18 @@
         running_elsewhere: requests of other nodes, from the last sync.
         unread_tokens_elsewhere: prompt tokens of those without a first event.
         answers: what it has answered to this node.
+        pace: how fast it answers.
         pause: the pause that it has asked this node for.
+        held_parts: parts of prompts that it has read for this node.
         held_adapters: adapters on it, from the leader and from its own entry.
     """
 
     def __init__(
-        self, entry: models.EngineEntry, *, listed_at: float = -math.inf
+        self,
+        entry: models.EngineEntry,
+        *,
+        listed_at: float = -math.inf,
+        service_pace: engine_pace.ServicePace | None = None,
     ) -> None:
         self.entry = entry
         self.listed_at = listed_at
@@ -82,7 +90,11 @@
         self.unread_tokens_elsewhere = 0
         self.health = health_lib.EngineHealth()
         self.answers = answers_lib.Answers()
+        self.pace = engine_pace.EnginePace(
+            service_pace or engine_pace.ServicePace()
+        )
         self.pause = pause_lib.Pause()
+        self.held_parts = held_parts_lib.HeldParts()
         self.held_adapters: dict[models.AdapterKey, HeldAdapter] = {}
 
     @property
@@ -114,10 +126,16 @@
 
 @final
 class Directory:
-    """All engines and plain endpoints, by id."""
+    """All engines and plain endpoints, by id.
+
+    Attributes:
+        engines: the engines and endpoints, by id.
+        service_paces: what those of a service have in common, by service.
+    """
 
     def __init__(self) -> None:
         self.engines: dict[str, Engine] = {}
+        self.service_paces: dict[str, engine_pace.ServicePace] = {}
 
     def update(self, entry: models.EngineEntry, now: float) -> Engine:
         """Adds or updates an endpoint from its list entry."""
@@ -125,7 +143,10 @@
         if known is None or known.entry.incarnation != entry.incarnation:
             if known is not None:
                 known.listed = False
-            known = Engine(entry, listed_at=now)
+            service_pace = self.service_paces.setdefault(
+                entry.service, engine_pace.ServicePace()
+            )
+            known = Engine(entry, listed_at=now, service_pace=service_pace)
             self.engines[entry.engine_id] = known
             self._add_reported_adapters(known, now)
         known.entry = entry
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -60,6 +60,7 @@
         engine_connection: what ended the connection of the last response;
             empty if it was open when the response ended.
         found_by: how the engine was selected; see `EngineSelection`.
+        held_tokens: tokens of the prompt that it is expected to hold.
         claims: number of claims that it has asked for; see `suspects`.
     """
 
@@ -98,6 +99,7 @@
         self.engine_framing = ""
         self.engine_connection = ""
         self.found_by = ""
+        self.held_tokens = 0
         self.adapter_version = 0
         self.claims = 0
 
@@ -133,6 +135,11 @@
             for part in self.request.shared_parts[:MAX_LOGGED_PARTS]
         ]
 
+    @property
+    def unread_tokens(self) -> int:
+        """Tokens of the prompt that its engine is expected to read."""
+        return max(0, self.request.prompt_tokens - self.held_tokens)
+
     def time_left(self) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline - asyncio.get_running_loop().time()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
@@ -1,7 +1,8 @@
 """Selects the engine that runs a request for an adapter."""
 
 import asyncio
-from collections.abc import Collection, Sequence
+import collections
+from collections.abc import Collection, Iterable, Sequence
 import dataclasses
 import datetime
 import functools
@@ -12,10 +13,12 @@
 from _dogwoodhinge.fleet import adapter_slots as adapter_slots_lib
 from _dogwoodhinge.fleet import engine_selection
 from _dogwoodhinge.fleet import engines as engines_lib
+from _dogwoodhinge.fleet import held_parts
 from _dogwoodhinge.fleet import leader as leader_lib
 from _dogwoodhinge.fleet import leader_client as leader_client_lib
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.fleet import placement_queue
+from _dogwoodhinge.fleet import prompt_cache as prompt_cache_lib
 from _dogwoodhinge.fleet import versions as versions_lib
 from _dogwoodhinge.gateway import errors
 from _dogwoodhinge.gateway import pause_queue as pause_queue_lib
@@ -45,6 +48,18 @@
 REPLICATION_MIN_LOAD = 0.5
 REPLICATION_MIN_LOAD_DIFFERENCE = 0.4
 
+# How long a copy waits for a slot while all holders are full, and the time
+# until this node asks for the next copy of the same adapter.
+COPY_WAIT = datetime.timedelta(seconds=1)
+COPY_INTERVAL = datetime.timedelta(milliseconds=500)
+
+# Time after a refusal for want of a slot in which copies are asked for only if
+# all holders are full.
+SLOTS_SHORT_FOR = datetime.timedelta(seconds=2)
+
+# Load from which requests for an adapter queue at its holders.
+FULL_LOAD = 1.0
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,6 +69,7 @@
     Attributes:
         engine: the engine.
         version: the adapter version that the engine must have; None for any.
+        held_tokens: tokens of the prompt that the engine is expected to hold.
         found_by: `held` (the adapter is loaded), `placed` (the leader had it
             loaded), `model` (no adapter needed) or `older` (there is no
             leader, and an older version may be used).
@@ -62,6 +78,7 @@
     engine: engines_lib.Engine
     version: int | None
     found_by: str
+    held_tokens: int = 0
 
 
 def _load_after_replication(engine: engines_lib.Engine) -> float:
@@ -72,7 +89,17 @@
 
 @final
 class EngineFinder:
-    """Selects an engine that holds an adapter, or has the adapter loaded."""
+    """Selects an engine that holds an adapter, or has the adapter loaded.
+
+    Attributes:
+        copying: requests for copies of adapters that the leader has not
+            answered.
+        no_copy_before: by adapter, the loop time before which no further copy
+            is asked for.
+        slots_short_until: loop time until which a copy would take the slot of
+            an adapter that requests wait for.
+        copies: copies that were asked for, by outcome.
+    """
 
     def __init__(
         self,
@@ -81,15 +108,21 @@
         versions: versions_lib.Versions,
         leader_client: leader_client_lib.LeaderClient,
         pause_queue: pause_queue_lib.PauseQueue,
+        prompt_cache: prompt_cache_lib.PromptCache,
         zone: str,
         rng: random.Random,
     ) -> None:
+        self.prompt_cache = prompt_cache
         self.directory = directory
         self.versions = versions
         self.leader_client = leader_client
         self.pause_queue = pause_queue
         self.zone = zone
         self.rng = rng
+        self.copying: dict[models.AdapterKey, asyncio.Task[None]] = {}
+        self.no_copy_before: dict[models.AdapterKey, float] = {}
+        self.slots_short_until = 0.0
+        self.copies: collections.Counter[str] = collections.Counter()
 
     async def find(
         self,
@@ -104,6 +137,7 @@
         pause_wait_until: float,
         rank: int = 0,
         organisation: str = "",
+        prompt_parts: Sequence[held_parts.PromptPart] = (),
     ) -> EngineSelection:
         """Selects an engine and waits until the adapter is ready on it.
 
@@ -120,6 +154,7 @@
                 want a pause.
             rank: priority of the request, 0 is the highest.
             organisation: name of the caller's organisation; empty if none.
+            prompt_parts: the parts of the prompt, in order.
 
         Raises:
             RequestRejectedError: no engine is available in time.
@@ -147,11 +182,19 @@
                 rank=rank,
                 organisation=organisation,
             )
-            result = await self._find_once(service, placement_request)
+            result = await self._find_once(
+                service, placement_request, prompt_parts
+            )
             if isinstance(result, EngineSelection):
-                return result
+                held = self.prompt_cache.expected(
+                    result.engine, key, prompt_parts, loop.time()
+                )
+                return dataclasses.replace(result, held_tokens=held)
             absent_from = ""
             if result.reason == NO_FREE_SLOT:
+                self.slots_short_until = (
+                    loop.time() + SLOTS_SHORT_FOR.total_seconds()
+                )
                 # The request has already waited in the placement queue.
                 delay = (
                     asked_at
@@ -181,6 +224,7 @@
         self,
         service: str,
         placement_request: adapter_slots_lib.PlacementRequest,
+        prompt_parts: Sequence[held_parts.PromptPart],
     ) -> "EngineSelection | errors.RequestRejectedError":
         now = asyncio.get_running_loop().time()
         key = placement_request.key
@@ -201,7 +245,9 @@
                 final=self.directory.all_leaving(service),
             )
         if not key.adapter:
-            return self._select_by_model(engines, key.model, now)
+            return self._select_by_model(
+                engines, placement_request, prompt_parts, now
+            )
         holders = self._usable_holders(
             service,
             key,
@@ -213,16 +259,32 @@
             overloaded = self._overloaded_holders(engines, holders)
             if not overloaded:
                 return await self._use_holder(
-                    holders, key, placement_request.version, now
+                    holders, placement_request, prompt_parts, now
                 )
             replica_request = dataclasses.replace(
                 placement_request,
                 avoid=placement_request.avoid | overloaded,
                 max_wait_seconds=0.0,
             )
+            holders_full = all(
+                _load_after_replication(engine) >= FULL_LOAD
+                for engine, _ in holders
+            )
+            if not self._copy_is_sooner(
+                engines, holders, placement_request, prompt_parts, now
+            ):
+                self._request_copy(
+                    service, replica_request, holders_full=holders_full
+                )
+                return await self._use_holder(
+                    holders, placement_request, prompt_parts, now
+                )
             try:
                 return await self._request_placement(service, replica_request)
             except errors.RequestRejectedError as error:
+                self._request_copy(
+                    service, replica_request, holders_full=holders_full
+                )
                 # The holders may have changed while the leader was asked.
                 now = asyncio.get_running_loop().time()
                 holders = self._usable_holders(
@@ -235,7 +297,7 @@
                 if not holders:
                     return error
                 return await self._use_holder(
-                    holders, key, placement_request.version, now
+                    holders, placement_request, prompt_parts, now
                 )
         try:
             return await self._request_placement(service, placement_request)
@@ -308,35 +370,162 @@
             return frozenset()
         return frozenset(loads)
 
-    async def _use_holder(
+    def _copy_is_sooner(
         self,
+        engines: list[engines_lib.Engine],
         holders: list[tuple[engines_lib.Engine, engines_lib.HeldAdapter]],
+        placement_request: adapter_slots_lib.PlacementRequest,
+        prompt_parts: Sequence[held_parts.PromptPart],
+        now: float,
+    ) -> bool:
+        """Returns whether a request that waits for a copy is served sooner.
+
+        The holders may hold the beginning of its prompt, too; a copy does not.
+        """
+        tokens = placement_request.prompt_tokens
+        held_tokens = self._held_tokens(
+            [engine for engine, _ in holders],
+            placement_request.key,
+            prompt_parts,
+            now,
+        )
+        at_holder = min(
+            engine_selection.first_event_seconds(
+                engine,
+                now,
+                prompt_tokens=tokens - held_tokens.get(engine.engine_id, 0),
+            )
+            for engine, _ in holders
+        )
+        at_copy = min(
+            engine_selection.first_event_seconds(
+                engine, now, prompt_tokens=tokens
+            )
+            for engine in engines
+        )
+        return at_holder > REPLICATION_SECONDS + at_copy
+
+    def _held_tokens(
+        self,
+        engines: Iterable[engines_lib.Engine],
         key: models.AdapterKey,
-        version: int,
+        prompt_parts: Sequence[held_parts.PromptPart],
+        now: float,
+    ) -> dict[str, int]:
+        """Returns how many tokens of a prompt engines hold, by engine."""
+        if not prompt_parts:
+            return {}
+        return {
+            engine.engine_id: self.prompt_cache.expected(
+                engine, key, prompt_parts, now
+            )
+            for engine in engines
+        }
+
+    def _request_copy(
+        self,
+        service: str,
+        replica_request: adapter_slots_lib.PlacementRequest,
+        *,
+        holders_full: bool,
+    ) -> None:
+        """Asks for a copy of an adapter without a request that waits for it.
+
+        Load pattern: demand shifts to an adapter with few copies while all
+        places are in use. Its requests go to the holders that are there; a copy
+        needs a place for longer than any of them would wait. It takes that
+        place from a request for an adapter that no engine holds, so a copy
+        waits in that queue only if the requests at the holders queue as well.
+
+        Args:
+            service: the service of the request's route.
+            replica_request: the request for the copy.
+            holders_full: whether all holders are full.
+        """
+        key = replica_request.key
+        now = asyncio.get_running_loop().time()
+        if key in self.copying or now < self.no_copy_before.get(key, 0.0):
+            return
+        if now < self.slots_short_until and not holders_full:
+            return
+        wait = COPY_WAIT.total_seconds() if holders_full else 0.0
+        task = asyncio.ensure_future(
+            self._place_copy(
+                service,
+                dataclasses.replace(replica_request, max_wait_seconds=wait),
+            )
+        )
+        self.copying[key] = task
+        task.add_done_callback(lambda _: self.copying.pop(key, None))
+
+    async def _place_copy(
+        self, service: str, replica_request: adapter_slots_lib.PlacementRequest
+    ) -> None:
+        outcome = "placed"
+        try:
+            await self._request_placement(service, replica_request)
+        except errors.RequestRejectedError as error:
+            outcome = error.reason
+        self.copies[outcome] += 1
+        loop = asyncio.get_running_loop()
+        if outcome == NO_FREE_SLOT:
+            self.slots_short_until = (
+                loop.time() + SLOTS_SHORT_FOR.total_seconds()
+            )
+        self.no_copy_before = {
+            key: until
+            for key, until in self.no_copy_before.items()
+            if until > loop.time()
+        }
+        self.no_copy_before[replica_request.key] = (
+            loop.time() + COPY_INTERVAL.total_seconds()
+        )
+
+    async def _use_holder(
+        self,
+        holders: list[tuple[engines_lib.Engine, engines_lib.HeldAdapter]],
+        placement_request: adapter_slots_lib.PlacementRequest,
+        prompt_parts: Sequence[held_parts.PromptPart],
         now: float,
     ) -> "EngineSelection | errors.RequestRejectedError":
         ready = [engine for engine, held in holders if held.ready_at <= now]
+        usable = ready or [engine for engine, _ in holders]
         engine = engine_selection.choose(
-            ready or [engine for engine, _ in holders],
+            usable,
             zone=self.zone,
             now=now,
             rng=self.rng,
+            prompt_tokens=placement_request.prompt_tokens,
+            held_tokens=self._held_tokens(
+                usable, placement_request.key, prompt_parts, now
+            ),
         )
         assert engine is not None
         if not ready:
-            await asyncio.sleep(engine.held_adapters[key].ready_at - now)
+            held_adapter = engine.held_adapters[placement_request.key]
+            await asyncio.sleep(held_adapter.ready_at - now)
         return EngineSelection(
-            engine=engine, version=version or None, found_by="held"
+            engine=engine,
+            version=placement_request.version or None,
+            found_by="held",
         )
 
     def _select_by_model(
-        self, engines: list[engines_lib.Engine], model: str, now: float
+        self,
+        engines: list[engines_lib.Engine],
+        placement_request: adapter_slots_lib.PlacementRequest,
+        prompt_parts: Sequence[held_parts.PromptPart],
+        now: float,
     ) -> "EngineSelection | errors.RequestRejectedError":
+        key = placement_request.key
+        usable = [e for e in engines if e.holds_model(key.model)]
         engine = engine_selection.choose(
-            [e for e in engines if e.holds_model(model)],
+            usable,
             zone=self.zone,
             now=now,
             rng=self.rng,
+            prompt_tokens=placement_request.prompt_tokens,
+            held_tokens=self._held_tokens(usable, key, prompt_parts, now),
         )
         if engine is None:
             return errors.RequestRejectedError(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -306,6 +306,7 @@
         if call.request.adapter is not None:
             fields["parts"] = call.logged_parts
             fields["prompt_tokens"] = call.request.prompt_tokens
+            fields["held_tokens"] = call.held_tokens
             fields["adapter"] = str(call.request.adapter)
             fields["found_by"] = call.found_by
             fields["version"] = call.adapter_version
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/prefill_pacing.py
@@ -145,7 +145,7 @@
         ):
             return
         call.turn_engine = engine.engine_id
-        tokens = call.request.prompt_tokens
+        tokens = call.unread_tokens
         longest = 0.0
         if not begun:
             longest = longest_delay_seconds(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from _dogwoodhinge.fleet import announcements
+from _dogwoodhinge.fleet import held_parts
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.http1 import server
 
@@ -21,6 +22,7 @@
         output_tokens: maximum number of tokens to generate.
         shared_parts: ids of the parts of the prompt that other requests may
             share, in order: all but the last, which is the request's own.
+        prompt_parts: all parts of the prompt with their lengths, in order.
         resume_after: id of the last event that the caller received, if it
             resumes a stream.
         raw: the request as it was read.
@@ -34,6 +36,7 @@
     prompt_tokens: int
     output_tokens: int
     shared_parts: tuple[str, ...]
+    prompt_parts: tuple[held_parts.PromptPart, ...] = ()
     resume_after: str | None
     raw: server.RawRequest
 
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -14,7 +14,6 @@
 
 from _dogwoodhinge.fleet import announcements as announcements_lib
 from _dogwoodhinge.fleet import answers as answers_lib
-from _dogwoodhinge.fleet import engine_selection
 from _dogwoodhinge.fleet import engines as engines_lib
 from _dogwoodhinge.fleet import health as health_lib
 from _dogwoodhinge.gateway import codec as codec_lib
@@ -60,6 +59,9 @@
 # one of them is not forwarded unless the engine confirms it in a header.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# Errors are answered sooner than what they stand for, and show no pace.
+FIRST_ERROR_STATUS = 400
+
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 # Ends of a connection that come from the engine's host.
@@ -340,6 +342,9 @@
         self.ends[self.framing, self.end] += 1
         now = asyncio.get_running_loop().time()
         self.engine.answers.end(self.exchange, now)
+        if self.complete and self.head.status < FIRST_ERROR_STATUS:
+            seconds = now - self.exchange.sent_at
+            self.engine.pace.service.record_run(seconds)
         if self.complete and not self.head.closing:
             if self.head.keep_alive_seconds is not None:
                 self.pool.set_idle_limit(self.head.keep_alive_seconds)
@@ -435,10 +440,12 @@
                 _connect_failure(engine, pool, loop.time()), now
             )
             raise errors.NotRunError(str(error), unreachable=True) from error
+        unread_tokens = engine.work.unread_tokens
         exchange = engine.answers.begin(
             loop.time(),
-            backlog=engine_selection.prefill_backlog_seconds(engine.work),
+            backlog=engine.pace.reading_seconds(unread_tokens, loop.time()),
             priority=parameters.priority or 0,
+            unread_tokens=unread_tokens,
         )
         try:
             _check_takes_work(engine, loop.time())
@@ -543,6 +550,11 @@
                     ),
                 )
             if answers:
+                if decoded.status < FIRST_ERROR_STATUS:
+                    now = asyncio.get_running_loop().time()
+                    engine.pace.record_answer(
+                        exchange.unread_tokens, now - exchange.sent_at, now
+                    )
                 return response
             self.stale_responses += 1
             await self._drain_response(response, prepare_switch)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -247,6 +247,7 @@
             else call.pause_wait_until,
             rank=call.rank,
             organisation=call.organisation_name,
+            prompt_parts=call.request.prompt_parts,
         )
 
     async def _find_or_return(
@@ -344,7 +345,8 @@
             prepare_switch = functools.partial(
                 self._prepare_switch, call, relay, selection
             )
-        unread_prompt = UnreadPrompt(engine, call.request.prompt_tokens)
+        call.held_tokens = selection.held_tokens
+        unread_prompt = UnreadPrompt(engine, call.unread_tokens)
         call.found_by = selection.found_by
         call.adapter_version = selection.version or 0
         engine.running += 1
@@ -372,12 +374,11 @@
             try:
                 unread_prompt.end()
                 self.prefill_pacing.record_first_event(
-                    call.service,
-                    call.request.prompt_tokens,
-                    loop.time() - call.sent_at,
+                    call.service, call.unread_tokens, loop.time() - call.sent_at
                 )
                 if response.head.status == 200:
                     self._end_return_option(call, relay)
+                    self._record_prompt(call, engine)
                 await relay.relay_response(
                     response,
                     prepare_switch=prepare_switch,
@@ -413,6 +414,19 @@
             unread_prompt.end()
             run.began_at = call.run_began_at
 
+    def _record_prompt(
+        self, call: call_lib.Call, engine: engines_lib.Engine
+    ) -> None:
+        assert call.request.adapter is not None
+        self.engine_finder.prompt_cache.record(
+            engine,
+            call.request.adapter,
+            call.request.prompt_parts,
+            prompt_tokens=call.request.prompt_tokens,
+            expected_tokens=call.held_tokens,
+            now=asyncio.get_running_loop().time(),
+        )
+
     def _may_switch_engine(
         self, call: call_lib.Call, engine: engines_lib.Engine
     ) -> bool:
--- a/packages/dogwoodhinge/testing/gateway/test_prefill_pacing.py
+++ b/packages/dogwoodhinge/testing/gateway/test_prefill_pacing.py
@@ -44,7 +44,7 @@
         "longest_pause": 0.36,
         "turn_engine": "",
         "route": types.SimpleNamespace(longest_pause=ALLOWED),
-        "request": types.SimpleNamespace(prompt_tokens=1_000),
+        "unread_tokens": 1_000,
         "steps": steps,
         "add_step": steps.append,
         "time_to_target": lambda: 0.8,
