Silence of an engine is judged by its service's usual time; bounded part memory

A service whose answers usually take longer than 0.7 s would have counted as silent; twice its learned time is now added.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/answers.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/answers.py
@@ -23,6 +23,9 @@
 # Longest time that prompts sent before add to that.
 MAX_BACKLOG = datetime.timedelta(milliseconds=800)
 
+# How many times the usual time of an answer add to that.
+USUAL_ANSWERS = 2.0
+
 # The response to a request counts as lost if the engine has answered a request
 # that was sent later by more than this, and the request itself has waited for
 # longer than `LOST_RESPONSE_TIMEOUT` and the prompts sent before.
@@ -44,7 +47,8 @@
         sent_at: loop time at which it was sent.
         unread_tokens: tokens of its prompt and of those sent before it that
             the engine had not read then.
-        backlog: seconds that the engine may need for these.
+        backlog: seconds that the engine may need for these, and for answers
+            of its service as they usually are.
         answered: whether the head of the response has arrived.
     """
 
@@ -95,6 +99,7 @@
         now: float,
         *,
         backlog: float,
+        usual_seconds: float = 0.0,
         priority: int = 0,
         unread_tokens: int = 0,
     ) -> Exchange:
@@ -103,6 +108,7 @@
         Args:
             now: loop time.
             backlog: seconds that the engine needs for its unread prompts.
+            usual_seconds: what an answer of its service takes besides.
             unread_tokens: tokens of these prompts.
             priority: priority of the request, 0 is the highest.
         """
@@ -112,7 +118,8 @@
             priority=priority,
             sent_at=now,
             unread_tokens=unread_tokens,
-            backlog=min(backlog, MAX_BACKLOG.total_seconds()),
+            backlog=min(backlog, MAX_BACKLOG.total_seconds())
+            + USUAL_ANSWERS * usual_seconds,
         )
         self.in_progress[exchange] = None
         return exchange
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/held_parts.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/held_parts.py
@@ -16,6 +16,10 @@
 # taken its memory.
 MAX_AGE = datetime.timedelta(seconds=20)
 
+# Parts that are remembered of each engine: callers choose how many parts a
+# prompt has, and how short they are.
+MAX_PARTS = 400
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,7 +101,7 @@
         """Records that a prompt has been read."""
         # The first parts are needed for the use of all others, so they are the
         # last to go.
-        for part in reversed(parts):
+        for part in reversed(parts[:MAX_PARTS]):
             name = (key, version, part.part_id)
             held = self.parts.pop(name, None)
             if held is not None:
@@ -107,6 +111,8 @@
         self._yield_to(room)
 
     def _yield_to(self, room: int) -> None:
-        while self.parts and self.tokens > room:
+        while self.parts and (
+            self.tokens > room or len(self.parts) > MAX_PARTS
+        ):
             _, gone = self.parts.popitem(last=False)
             self.tokens -= gone.tokens
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -444,6 +444,7 @@
         exchange = engine.answers.begin(
             loop.time(),
             backlog=engine.pace.reading_seconds(unread_tokens, loop.time()),
+            usual_seconds=engine.pace.service.base_seconds,
             priority=parameters.priority or 0,
             unread_tokens=unread_tokens,
         )
--- a/packages/dogwoodhinge/testing/fleet/test_answers.py
+++ b/packages/dogwoodhinge/testing/fleet/test_answers.py
@@ -35,6 +35,13 @@
     assert waiting.patience == pytest.approx(patience)
 
 
+def test_engines_whose_answers_take_long_are_waited_for() -> None:
+    known = answers.Answers()
+    waiting = known.begin(0.0, backlog=0.0, usual_seconds=2.0)
+    assert not known.is_silent(waiting, 4.6)
+    assert known.is_silent(waiting, 4.8)
+
+
 def test_later_prompts_do_not_extend_the_wait() -> None:
     """Regression: each further prompt sent there excused its silence."""
     known = answers.Answers()
--- a/packages/dogwoodhinge/testing/fleet/test_prompt_cache.py
+++ b/packages/dogwoodhinge/testing/fleet/test_prompt_cache.py
@@ -187,6 +187,20 @@
     assert fixture.held() == 7_000
 
 
+def test_callers_do_not_fill_the_memory_of_the_node_with_tiny_parts() -> None:
+    fixture = Fixture()
+    tiny = tuple(
+        held_parts.PromptPart(f"p{number}", number % 2)
+        for number in range(5 * held_parts.MAX_PARTS)
+    )
+    fixture.cache.record(
+        fixture.engine, A1, tiny, prompt_tokens=10, expected_tokens=0, now=1.0
+    )
+    known = fixture.engine.held_parts
+    assert len(known.parts) == held_parts.MAX_PARTS
+    assert known.tokens == sum(part.tokens for part in known.parts.values())
+
+
 def test_disabled_cache_expects_nothing() -> None:
     fixture = Fixture()
     fixture.cache.enabled = False
