--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/requests.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from _dogwoodhinge.fleet import announcements
+from _dogwoodhinge.fleet import held_parts
 from _dogwoodhinge.fleet import models
 from _dogwoodhinge.http1 import server
 
@@ -23,6 +24,7 @@
             None if it does not.
         shared_parts: ids of the parts of the prompt that other requests may
             share, in order: all but the last, which is the request's own.
+        prompt_parts: all parts of the prompt with their lengths, in order.
         resume_after: id of the last event that the caller received, if it
             resumes a stream.
         raw: the request as it was read, without its keys.
@@ -40,6 +42,7 @@
     prompt_tokens: int
     output_tokens: int
     shared_parts: tuple[str, ...]
+    prompt_parts: tuple[held_parts.PromptPart, ...] = ()
     resume_after: str | None
     raw: server.RawRequest
     keys: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
