Ranks of a configuration are computed once

Callers saw: nothing; with thousands of organisations each request would have spent milliseconds on it.

Cause: Configuration.ranks went through all organisations for every request.

Change: it is cached on the configuration, which therefore has no slots. Tests of the models: passed. Not measured.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/models.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import enum
+import functools
 from typing import final
 
 
@@ -194,7 +195,7 @@
 
 
 @final
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True)
 class Configuration:
     """One complete version of the operator's configuration.
 
@@ -210,7 +211,7 @@
     organisations: tuple[Organisation, ...] | None = None
     problems: tuple[str, ...] = ()
 
-    @property
+    @functools.cached_property
     def ranks(self) -> tuple[int, ...]:
         """Ranks that streaming requests may have, in ascending order."""
         ranks = {
