Quotas: Retry-After grows with what is asked beyond the rate

Cause: the next sync, which wanted nothing, said that there was room.

Change: the leader tells each host of an organisation that asks for more than its rate when refused callers may come back, whether or not the host wanted credit.

Tests: `retry_delay_grows_with_what_is_asked_beyond_the_rate` failed before (0 s); test_quotas.py and test_quota_ledger.py: passed.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/quota_ledger.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/quota_ledger.py
@@ -114,8 +114,8 @@
     Attributes:
         granted: credit for the host; negative if it has to return some.
         share: fraction of the rate that the host may spend without a leader.
-        room_in: time until there may be room for what was wanted and not
-            granted; 0 if all was.
+        room_in: time after which refused callers may come back; 0 if there is
+            room.
     """
 
     organisation: str
@@ -190,11 +190,11 @@
             target = 0.0
         reserve = self.capacity * (1 - HELD_FRACTION)
         missing = max(0.0, use.wanted - use.held)
-        granted = self._cover(missing, use.request)
+        covered = self._cover(missing, use.request)
         rest = target - max(0.0, use.held - use.wanted)
         if rest > 0:
-            rest = min(rest, max(0.0, self.level - granted - reserve))
-        granted += rest
+            rest = min(rest, max(0.0, self.level - covered - reserve))
+        granted = covered + rest
         self.level -= granted
         self.held += granted
         account.held += granted
@@ -203,7 +203,7 @@
             organisation=use.organisation,
             granted=granted,
             share=weight,
-            room_in=self._room_in(missing - granted),
+            room_in=self._room_in(missing - covered, reserve),
         )
 
     def _cover(self, missing: float, request: float) -> float:
@@ -214,16 +214,17 @@
         # Less than one request needs would be held in vain.
         return 0.0 if covered < min(missing, request) else covered
 
-    def _room_in(self, missing: float) -> datetime.timedelta:
-        if missing <= 0:
-            return datetime.timedelta(0)
+    def _room_in(self, missing: float, reserve: float) -> datetime.timedelta:
         rate = self.quota.per_second
         if not rate:
             return self.bounds.window
+        overload = max(0.0, self.demand / rate - 1)
+        if missing <= 0 and (not overload or self.level > reserve):
+            return datetime.timedelta(0)
         # Callers that come back all at once would find no room either: the
         # more is asked beyond the rate, the later they should.
         seconds = (missing - self.level - self.max_debt) / rate
-        seconds = max(0.0, seconds) + max(0.0, self.demand / rate - 1)
+        seconds = max(0.0, seconds) + overload
         return min(
             self.bounds.window,
             max(MIN_ROOM_DELAY, datetime.timedelta(seconds=seconds)),
--- a/packages/dogwoodhinge/testing/fleet/test_quota_ledger.py
+++ b/packages/dogwoodhinge/testing/fleet/test_quota_ledger.py
@@ -169,3 +169,21 @@
     assert (
         quota_messages.decode_grant(quota_messages.encode_grant(grant)) == grant
     )
+
+
+def test_retry_delay_grows_with_what_is_asked_beyond_the_rate() -> None:
+    """Callers that all came back at once were all refused once more."""
+    delays = {}
+    for asked in (500, 2_000, 6_000):
+        leader = Leader()
+        for step in range(80):
+            use = quota_ledger.QuotaUse(
+                organisation="acme", asked=asked / 4, held=0.0, request=100
+            )
+            leader.ledger.lead(1, 60 + step / 4, sole_leader=True)
+            grant = leader.ledger.exchange("h1", use, 60 + step / 4)
+        assert grant is not None
+        delays[asked] = grant.room_in.total_seconds()
+    assert delays[500] == 0.0
+    assert 0.5 <= delays[2_000] <= 1.5
+    assert 4.0 <= delays[6_000] <= 6.0
