Answers that break off beside an upload, and statuses above 599, are none

Callers saw a part of an answer as complete if it had no length and its engine closed the connection and reset it at once, whether the upload was read or still being sent, on all four kinds of route. An engine's status 600 or 999 reached callers with the signature.

Cause: the close ended the connection here, so the reset that followed was not seen; h11 accepts three digits up to 999. Long answers without a length that are forwarded as they arrive were not checked for the end of their engine.

Change: under a response the connection stays open after the peer's close, and its state is looked at before the answer counts as complete; an answer without a length is not complete while the request is still being sent; statuses above 599 are errors of the protocol; long answers are checked like short ones.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -430,6 +430,7 @@
             try:
                 async for chunk in fetched.rest:
                     await reply.write(chunk)
+                await self.suspects.confirm_end(fetched.run, fetched.response)
             except BaseException as error:
                 if isinstance(error, errors.GatewayError):
                     now = asyncio.get_running_loop().time()
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -357,15 +357,23 @@
         """Checks that an answer without framing did not end with its engine.
 
         The end of its connection completes such an answer, and is all that an
-        engine that crashes leaves of it.
+        engine that crashes leaves of it. A reset after it shows that the answer
+        broke off.
 
         Raises:
-            IncompleteResponseError: the engine has ended.
+            IncompleteResponseError: the engine has ended, or has reset the
+                connection.
         """
         if response.framing is not sender_lib.BodyFraming.CLOSE:
             return
         run.unframed = True
         await asyncio.sleep(CONNECTIONS_END_WAIT.total_seconds())
+        if response.connection.is_reset():
+            response.complete = False
+            response.end = sender_lib.ResponseEnd.BROKE_OFF
+            raise sender_lib.IncompleteResponseError(
+                "the engine reset the connection after its answer"
+            )
         look = self.engine_ends.look(run.engine)
         await asyncio.wait({look}, timeout=MAX_END_WAIT.total_seconds())
         state = engine_ends_lib.EngineState.UNKNOWN
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -39,6 +39,9 @@
 # connections.
 MAX_EVENTS_PER_TURN = 64
 
+# RFC 9110, section 15; h11 accepts statuses up to 999.
+MAX_STATUS = 599
+
 MessageEvent: TypeAlias = (
     h11.Request
     | h11.InformationalResponse
@@ -278,14 +281,24 @@
             self.parser = self._new_parser()
 
     def eof_received(self) -> bool:
-        """Records that the peer will send no more data."""
+        """Records that the peer will send no more data.
+
+        Returns:
+            Whether the connection stays open: it does under a response, since
+            a reset that follows shows that the response is not complete.
+        """
         self.eof = True
         self._mark_lost("peer_closed")
-        return False
+        return self.role is h11.CLIENT and self.parser.their_state in (
+            h11.SEND_RESPONSE,
+            h11.SEND_BODY,
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Records the end of the connection."""
-        self.reset = self.reset or (exc is not None and not self.eof)
+        self.reset = self.reset or (
+            exc is not None and (not self.eof or self.role is h11.CLIENT)
+        )
         if self._lingers and not self._reset_on_close:
             self._set_linger(enabled=False)
         self._ended.set()
@@ -321,7 +334,14 @@
             event = self._parse()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return cast(MessageEvent, event)
-            if self.eof and not self.reset and not self._eof_fed:
+            # A peer that has not read the whole request has not answered it
+            # to the end either, if only the close marks that end.
+            if (
+                self.eof
+                and self.all_sent
+                and not self.reset
+                and not self._eof_fed
+            ):
                 self._eof_fed = True
                 self._feed_eof()
                 continue
@@ -467,6 +487,14 @@
         self._mark_lost("peer_closed")
         self.abort()
 
+    def is_reset(self) -> bool:
+        """Returns whether the peer has reset it, also after it closed it."""
+        if not self.reset and self.fileno() >= 0:
+            poll = select.poll()
+            poll.register(self.fileno(), 0)
+            self.reset = bool(poll.poll(0))
+        return self.reset
+
     def refuse(self) -> None:
         """Makes the read of the current request fail with status 503."""
         self.refused = True
@@ -538,6 +566,10 @@
             self._count_informational_response()
         elif isinstance(event, h11.Response):
             self._informational_responses = 0
+            if event.status_code > MAX_STATUS:
+                raise errors.ProtocolError(
+                    f"{event.status_code} is no status of a response"
+                )
         if isinstance(event, h11.EndOfMessage):
             self.message_bytes = self.parser.unparsed_bytes
         return event
