Order lease: an era that begins before the first read counts as one

What callers would see: two nodes that give orders, if the store came back between a process's first call and its first read of the lease row, and states era 1 then. Cause: the first era of the lease was taken for that of a new store, also when the node had seen it begin. Change: enter_era, which is called for a change, always waits takeover_delay; only a first read may find a store that never came back.

era_that_begins_before_the_first_read_is_waited_out failed before.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/order_lease.py
@@ -223,8 +223,7 @@
         """
         if self.era is not None and revision.era < self.era:
             return
-        if self.era is None or revision.era > self.era:
-            self.enter_era(revision.era)
+        self._learn_era(revision.era)
         self.highest_token = max(self.highest_token, token)
         if self.held_since is None and (
             self.revision is None or revision.is_after(self.revision)
@@ -233,17 +232,15 @@
             self.unchanged_since = self.clock.elapsed()
 
     def enter_era(self, era: int) -> None:
-        """Records that the table is in a new era.
+        """Records that the table has begun a new era.
 
         A lease that is held here ends. What is known of the row does not hold
         any longer; its holder counts as unknown until the row is written again.
         """
         if self.era is not None and era <= self.era:
             return
-        self.may_lack_holder = self.era is not None or era > LAST_FIRST_ERA
         self.era = era
-        if not self.may_lack_holder:
-            return
+        self.may_lack_holder = True
         self.revision = None
         self.unchanged_since = self.clock.elapsed()
         if self.held_since is not None:
@@ -390,12 +387,18 @@
         self.unchanged_since = self.clock.elapsed()
         self.held_since = sent_at
 
+    def _learn_era(self, era: int) -> None:
+        if self.era is None and era <= LAST_FIRST_ERA:
+            self.era = era
+        else:
+            self.enter_era(era)
+
     def _apply_row(self, row: Row) -> None:
         if self.era is not None and row.revision.era < self.era:
             raise errors.TableUnavailableError(
                 f"the row is of era {row.revision.era}, before {self.era}"
             )
-        self.enter_era(row.revision.era)
+        self._learn_era(row.revision.era)
         is_unchanged = row.record is not None and row.record == self.record
         if self.held_since is not None and not is_unchanged:
             self.held_since = None
--- a/packages/dogwoodhinge/testing/fleet/test_order_lease_eras.py
+++ b/packages/dogwoodhinge/testing/fleet/test_order_lease_eras.py
@@ -269,6 +269,19 @@
     assert third.token > after_era
 
 
+async def test_era_that_begins_before_the_first_read_is_waited_out(
+    clock: fleet_fakes.FakeClock,
+) -> None:
+    """Regression: the first read of an era 1 was taken for a new store."""
+    table = fleet_fakes.FakeLeaseTable(era=1)
+    lease = make(table, clock, "n1")
+    lease.enter_era(1)
+    assert not await lease.try_acquire()
+    clock.seconds += lease.takeover_delay.total_seconds() + 0.1
+    assert await lease.try_acquire()
+    assert lease.token > order_lease.TOKENS_PER_ERA
+
+
 async def test_token_heard_from_the_holder_counts(
     table: fleet_fakes.FakeLeaseTable, clock: fleet_fakes.FakeClock
 ) -> None:
