A leader that ends its lease in a new era tells its followers the era

What callers would see: a follower that can't reach the store kept its old view of it until another node had taken the lease. Cause: the reply of a node that no longer leads was an empty refusal. Change: it states the era, and the follower takes it from any reply.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -197,7 +197,9 @@
         try:
             self.leader.record_use(use)
         except leader_lib.NotLeaderError:
-            return fleet_pb2.SyncReply(not_owner=True)
+            return fleet_pb2.SyncReply(
+                not_owner=True, store_era=self.store_era.current or 0
+            )
         now = asyncio.get_running_loop().time()
         self.record_leaving(request.leaving)
         self.receive_quarantine(request.quarantine, write=True)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -238,6 +238,7 @@
             reply = await self._call(
                 lambda stub: stub.Sync(request), SYNC_TIMEOUT
             )
+        self.local.store_era.observe_peer(reply.store_era, source="sync_reply")
         if reply.not_owner:
             raise leader_lib.NotLeaderError("the leader has changed")
         self._apply(request, reply)
@@ -253,7 +254,6 @@
         self.known_token = reply.token
         self.known_change = reply.last_change
         self.nodes = reply.nodes
-        self.local.store_era.observe_peer(reply.store_era, source="sync_reply")
         self.lease_revision = revisions.Revision(
             reply.lease_era, reply.lease_revision
         )
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -472,6 +472,38 @@
     await other.stop()
 
 
+HOUR = datetime.timedelta(hours=1)
+
+
+@pytest.mark.parametrize("first", ["leader", "follower"])
+async def test_era_that_one_node_sees_is_known_to_the_other(
+    node: Node, other: Node, table: fleet_fakes.FakeLeaseTable, first: str
+) -> None:
+    """The other one has no reason to call the store, or can't reach it."""
+    nodes = {"leader": node, "follower": other}
+    # Afterwards nobody takes the lease within this test.
+    node.lease.takeover_delay = other.lease.takeover_delay = HOUR
+    await until(node.lease.may_order)
+    await until(lambda: other.leader_client.nodes == 2)
+    lines = node.events
+    # The row of the copy is still that of the holder.
+    for each in nodes.values():
+        each.leader_client.local.store_era.observe(0, source="store")
+    table.come_back_from(table.copy())
+    table.down = True
+    nodes[first].leader_client.local.store_era.observe(1, source="store")
+    await until(
+        lambda: all(
+            each.leader_client.local.store_era.current == 1
+            for each in nodes.values()
+        )
+    )
+    assert not node.lease.is_held_here
+    assert not other.lease.is_held_here
+    lost = [fields for event, fields in lines if event == "order_lease_lost"]
+    assert lost == [{"holder": "", "era": 1}]
+
+
 async def test_another_node_takes_over_when_the_leader_dies(
     table: fleet_fakes.FakeLeaseTable, orders: fleet_fakes.FakeOrders
 ) -> None:
