Entries of an older copy bring back no endpoint that a node does not list

Cause: only engines that the node had itself removed were kept out. Change: an entry of the copy is used only for an endpoint that the node lists; others count once they have written again, within a heartbeat. The list of removed endpoints is not needed any longer.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -8,8 +8,9 @@
 
 A store that comes back from an older copy lists endpoints as they were some
 time ago. Until an endpoint has written its entry again, the entry of the copy
-neither brings back one that has gone or an earlier start, nor changes what is
-known of one; it only shows that the endpoint is not missing.
+neither brings back an endpoint that is not listed here, which has most likely
+gone, nor an earlier start, and it changes nothing that is known of one; it only
+shows that the endpoint is not missing.
 
 The store has recovered once it responds to any node: this one may have no
 reason to read it for a long time while the leader's updates cover it.
@@ -34,10 +35,6 @@
 # outage, or the start of this process, expires none.
 MIN_OUTAGE = datetime.timedelta(seconds=2.0)
 
-# Removed endpoints whose start is remembered, the latest ones. A copy is some
-# seconds old.
-MAX_REMOVED = 1_000
-
 
 @final
 class EndpointListing:
@@ -53,7 +50,6 @@
             are removed if they do not.
         written: endpoints whose entries were written since the last recovery.
         responses: number of responses of the source to this node since then.
-        removed: start of each endpoint that was removed, by its id.
         recheck_at: loop time at which the list is read again since entries of
             an older copy were ignored; the leader may have applied them, and
             then sends no update when they are written again.
@@ -78,7 +74,6 @@
         self.written: set[str] = set()
         self.responses = 0
         self.left_incarnations: set[tuple[str, int]] = set()
-        self.removed: dict[str, int] = {}
         self.recheck_at = math.inf
         self.changes = 0
 
@@ -86,7 +81,6 @@
         """Applies a new or changed entry."""
         now = self._now()
         self.missing.pop(entry.engine_id, None)
-        self.removed.pop(entry.engine_id, None)
         if self.responses > 1:
             # The first response also contains entries from before the outage.
             self.written.add(entry.engine_id)
@@ -222,19 +216,18 @@
     ) -> models.EngineEntry | None:
         """Returns the entry that an entry of an older copy leaves in force.
 
-        Returns None if it is that of an endpoint that has gone.
+        Returns None if it is that of an earlier start, or of an endpoint that
+        this node does not list: most likely it has gone.
         """
         engine = self.directory.engines.get(entry.engine_id)
-        if engine is None:
-            known_start = self.removed.get(entry.engine_id, -1)
-        else:
+        if engine is not None:
             known_start = engine.entry.born_ms
             if entry.born_ms in (0, known_start):
                 return dataclasses.replace(
                     engine.entry, leaving=engine.entry.leaving or entry.leaving
                 )
-        if entry.born_ms > known_start:
-            return entry
+            if entry.born_ms > known_start:
+                return entry
         self.recheck_at = self.restored_at + REJOIN_TIMEOUT.total_seconds()
         self.report(
             "endpoint_copy_ignored",
@@ -303,9 +296,6 @@
             return
         if engine.leaving:
             self.left_incarnations.add(engine.entry.incarnation)
-        self.removed[engine_id] = engine.entry.born_ms
-        if len(self.removed) > MAX_REMOVED:
-            del self.removed[next(iter(self.removed))]
         self._report_gone(engine, reason)
 
     def _report_gone(self, engine: engines_lib.Engine, reason: str) -> None:
