Rejected requests return one after another, when there is room

Change: Retry-After also counts those who were told to return earlier, and the room that new requests leave, instead of all slots. Nodes report in the faster rhythm of a shortage for a second after a request had to wait; since hopeless requests are rejected at once, the queue is often empty in a crest.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -136,7 +136,7 @@
             ready_in_ms=_milliseconds_until(
                 assignment.ready_at, asyncio.get_running_loop().time()
             ),
-            places_short=self.leader.placement_queue.has_waiters,
+            places_short=self.leader.placement_queue.is_short(),
         )
 
     def take_retry(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/placement_queue.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Awaitable, Callable
 import datetime
+import math
 import random
 from typing import final
 
@@ -16,6 +17,9 @@
 # finish.
 SERVE_INTERVAL = datetime.timedelta(milliseconds=20)
 
+# Slots are short for this long after a request had to wait.
+SHORTAGE_DURATION = datetime.timedelta(seconds=1)
+
 # Bounds the wait for a reply, so that the requesting node notices a leader that
 # is gone. A repeated request keeps its rank in the queue.
 REPLY_TIMEOUT = datetime.timedelta(milliseconds=400)
@@ -55,6 +59,7 @@
     Attributes:
         given: number of slots given, by rank and organisation.
         rejected: number of requests rejected for good, likewise.
+        waited_at: loop time at which a request last had to wait.
     """
 
     def __init__(
@@ -81,6 +86,7 @@
         ] = {}
         self.serving: asyncio.Task[None] | None = None
         self.loads: set[asyncio.Task[None]] = set()
+        self.waited_at = -math.inf
         self.given: collections.Counter[tuple[int, str]] = collections.Counter()
         self.rejected: collections.Counter[tuple[int, str]] = (
             collections.Counter()
@@ -91,6 +97,11 @@
         """True if a request is waiting."""
         return bool(self.queued_requests)
 
+    def is_short(self) -> bool:
+        """Returns whether slots are short, or were until just now."""
+        now = asyncio.get_running_loop().time()
+        return now - self.waited_at < SHORTAGE_DURATION.total_seconds()
+
     def waiting_by_rank(self) -> collections.Counter[int]:
         """Returns the number of waiting requests of each rank."""
         return collections.Counter(w.rank for w in self.queued_requests)
@@ -105,6 +116,7 @@
         """
         loop = asyncio.get_running_loop()
         now = loop.time()
+        self.waited_at = now
         waiter = wait_order.Waiter(
             now + request.seconds_to_target,
             now + request.max_wait_seconds,
@@ -152,7 +164,9 @@
     def _reject(self, waiter: wait_order.Waiter, now: float) -> NoFreeSlotError:
         self.queue.record_rejection(now, rank=waiter.rank)
         self.rejected[waiter.rank, waiter.organisation] += 1
-        return self._rejection(now, final=True)
+        rejection = self._rejection(now, final=True)
+        self.queue.record_return(now + rejection.retry_after.total_seconds())
+        return rejection
 
     def _rejection(self, now: float, *, final: bool) -> NoFreeSlotError:
         seconds = self.queue.retry_delay_seconds(now, self.rng.random())
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
@@ -5,13 +5,15 @@
 retrying may be served last; see `wait_order`.
 
 A request that cannot be served in time with the room that is left to it is
-rejected at once, on arrival or while it waits, with the time in which the queue
-should drain. The room is the recent rate of slot assignments; what is left of
-it to a request that gives way is what those before it have not asked for.
+rejected at once, on arrival or while it waits, with the time at which there
+should be room for it. The room is the recent rate of slot assignments; what is
+left of it to a request that gives way is what those before it have not asked
+for.
 """
 
 import collections
 from collections.abc import Iterable
+import heapq
 from typing import final
 
 from _dogwoodhinge.fleet import fair_shares
@@ -36,7 +38,7 @@
 MAX_RETRY_SECONDS = 2.0
 
 # Adds up to this fraction to the delay, so that requests rejected together do
-# not retry together.
+# not retry together; the longest delay is shortened by up to as much.
 RETRY_JITTER = 0.5
 
 
@@ -53,6 +55,8 @@
             break; None while none waits.
         shares: which part of the requests of each rank is served.
         slot_use: slots that the organisations were given.
+        returns_at: heap of the loop times at which rejected requests were told
+            to retry.
     """
 
     def __init__(self) -> None:
@@ -62,6 +66,7 @@
         self.nonempty_since: float | None = None
         self.shares = wait_order.ServedShares()
         self.slot_use = fair_shares.SlotUse()
+        self.returns_at: list[float] = []
 
     def join(
         self, waiter: wait_order.Waiter, now: float, *, lead_time: float = 0.0
@@ -149,16 +154,34 @@
         order = self.in_order(now, lead_time=lead_time)
         return self._without_room(order, now, lead_time)
 
-    def retry_delay_seconds(self, now: float, jitter: float) -> float:
+    def retry_delay_seconds(
+        self,
+        now: float,
+        jitter: float,
+        *,
+        longest: float = MAX_RETRY_SECONDS,
+    ) -> float:
         """Returns the seconds after which a rejected request should retry.
 
+        By then, the queue and those who were told to retry earlier should have
+        been served with the room that new requests leave.
+
         Args:
             now: loop time.
             jitter: random number between 0 and 1, drawn for each request.
+            longest: longest delay of use to its caller, in seconds.
         """
-        seconds = (len(self.waiters) + 1) / self.assignment_rate(now)
+        while self.returns_at and self.returns_at[0] <= now:
+            heapq.heappop(self.returns_at)
+        ahead = len(self.waiters) + len(self.returns_at)
+        room = self._room(now, self._asked(now).total())
+        seconds = min((ahead + 1) / room, longest / (1 + RETRY_JITTER))
         seconds *= 1 + RETRY_JITTER * jitter
-        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds))
+        return max(MIN_RETRY_SECONDS, seconds)
+
+    def record_return(self, at: float) -> None:
+        """Records that a rejected request was told to retry at a loop time."""
+        heapq.heappush(self.returns_at, at)
 
     def _in_order(
         self,
@@ -189,10 +212,7 @@
         Requests that can still be on time go before late ones; those that are
         more urgent go before all. Their recent number is expected to go on.
         """
-        rate = self.assignment_rate(now)
-        while self.asked and now - self.asked[0][0] > RATE_WINDOW_SECONDS:
-            self.asked.popleft()
-        asked = collections.Counter(rank for _, rank in self.asked)
+        asked = self._asked(now)
         without_room: list[wait_order.Waiter] = []
         for ahead, waiter in enumerate(order):
             if wait_order.is_late(waiter, now, lead_time=lead_time):
@@ -201,9 +221,25 @@
                 before = sum(
                     count for rank, count in asked.items() if rank < waiter.rank
                 )
-            room = max(
-                MIN_ASSIGNMENTS_PER_SECOND, rate - before / RATE_WINDOW_SECONDS
-            )
+            room = self._room(now, before)
             if now + (ahead - len(without_room)) / room > waiter.wait_until:
                 without_room.append(waiter)
         return without_room
+
+    def _asked(self, now: float) -> collections.Counter[int]:
+        """Returns the recent requests that could be on time, by rank."""
+        while self.asked and now - self.asked[0][0] > RATE_WINDOW_SECONDS:
+            self.asked.popleft()
+        return collections.Counter(rank for _, rank in self.asked)
+
+    def _room(self, now: float, before: int) -> float:
+        """Returns the slots a second that earlier requests will leave.
+
+        Args:
+            now: loop time.
+            before: requests of the last second that go first.
+        """
+        return max(
+            MIN_ASSIGNMENTS_PER_SECOND,
+            self.assignment_rate(now) - before / RATE_WINDOW_SECONDS,
+        )
--- a/packages/dogwoodhinge/testing/fleet/test_placement_queue.py
+++ b/packages/dogwoodhinge/testing/fleet/test_placement_queue.py
@@ -209,3 +209,18 @@
     assert [task.done() for task in tasks] == [True, True, False, True]
     assert adapter_slots.loaded == ["a1"]
     tasks[2].cancel()
+
+
+async def test_slots_stay_short_for_a_while_after_a_request_waited(
+    queue: placement_queue.PlacementQueue,
+) -> None:
+    """Nodes report more often meanwhile, so that slots become free sooner.
+
+    Regression: since hopeless requests are rejected at once, nobody may wait at
+    the height of a crest.
+    """
+    assert not queue.is_short()
+    with pytest.raises(placement_queue.NoFreeSlotError):
+        await queue.wait(make_request("a1", max_wait=0.0))
+    assert not queue.has_waiters
+    assert queue.is_short()
--- a/packages/dogwoodhinge/testing/fleet/test_wait_queue.py
+++ b/packages/dogwoodhinge/testing/fleet/test_wait_queue.py
@@ -151,3 +151,38 @@
     served = queue_replay.replay(kinds, slots_per_second=100)["live"]
     assert served.on_time_share > 0.45
     assert served.held < 0.5
+
+
+@pytest.mark.parametrize(
+    ("seconds", "served"),
+    [
+        pytest.param(1.0, 0.97, id="short_crest"),
+        pytest.param(2.0, 0.95, id="longer_crest"),
+        pytest.param(8.0, 0.8, id="crest_longer_than_any_delay"),
+    ],
+)
+def test_rejected_requests_return_when_there_is_room(
+    seconds: float, served: float
+) -> None:
+    """Load pattern: a crest with two thirds of the slots that are asked for.
+
+    Told to return once the queue had drained, callers met the same crest, were
+    rejected again and displaced new requests.
+    """
+    live = dataclasses.replace(LIVE, rate=180)
+    found = queue_replay.replay(
+        {"live": live}, slots_per_second=130, seconds=seconds, max_returns=1
+    )["live"]
+    assert found.share > served
+
+
+def test_requests_rejected_together_return_one_after_another() -> None:
+    queue = queue_of(*[wait_order.Waiter(0.0, 9.0) for _ in range(4)])
+    record_assignments(queue, 20, until=2.0)
+    delays = []
+    for _ in range(40):
+        delays.append(queue.retry_delay_seconds(2.0, 0.5))
+        queue.record_return(2.0 + delays[-1])
+    assert delays == sorted(delays)
+    assert delays[10] - delays[0] == pytest.approx(10 / 20 * 1.25)
+    assert delays[-1] <= wait_queue.MAX_RETRY_SECONDS
