--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
@@ -14,6 +14,7 @@
 import collections
 from collections.abc import Iterable
 import heapq
+import itertools
 from typing import final
 
 from _dogwoodhinge.fleet import fair_shares
@@ -32,6 +33,10 @@
 # of a few seconds each frees several slots a second.
 MIN_ASSIGNMENTS_PER_SECOND = 4.0
 
+# Fraction of the slots that is expected to be left in any case: a crest may
+# end, and engines may come back, sooner than the last second lets expect.
+MIN_ROOM_FRACTION = 0.15
+
 # A whole request takes about a second at peak load, so a slot that becomes free
 # sooner is of use only to clients that retry soon.
 MIN_RETRY_SECONDS = 0.1
@@ -174,7 +179,7 @@
         while self.returns_at and self.returns_at[0] <= now:
             heapq.heappop(self.returns_at)
         ahead = len(self.waiters) + len(self.returns_at)
-        room = self._room(now, self._asked(now).total())
+        room = _room(self._latest_rate(now), self._asked(now).total())
         seconds = min((ahead + 1) / room, longest / (1 + RETRY_JITTER))
         seconds *= 1 + RETRY_JITTER * jitter
         return max(MIN_RETRY_SECONDS, seconds)
@@ -212,6 +217,7 @@
         Requests that can still be on time go before late ones; those that are
         more urgent go before all. Their recent number is expected to go on.
         """
+        rate = self._latest_rate(now)
         asked = self._asked(now)
         without_room: list[wait_order.Waiter] = []
         for ahead, waiter in enumerate(order):
@@ -221,7 +227,7 @@
                 before = sum(
                     count for rank, count in asked.items() if rank < waiter.rank
                 )
-            room = self._room(now, before)
+            room = _room(rate, before)
             if now + (ahead - len(without_room)) / room > waiter.wait_until:
                 without_room.append(waiter)
         return without_room
@@ -232,14 +238,30 @@
             self.asked.popleft()
         return collections.Counter(rank for _, rank in self.asked)
 
-    def _room(self, now: float, before: int) -> float:
-        """Returns the slots a second that earlier requests will leave.
+    def _latest_rate(self, now: float) -> float:
+        """Returns the slots a second, of the last moments if it has risen.
 
-        Args:
-            now: loop time.
-            before: requests of the last second that go first.
+        Engines that come back make room at once.
         """
-        return max(
-            MIN_ASSIGNMENTS_PER_SECOND,
-            self.assignment_rate(now) - before / RATE_WINDOW_SECONDS,
+        since = now - MIN_RATE_WINDOW_SECONDS
+        latest = sum(
+            1
+            for _ in itertools.takewhile(
+                lambda at: at > since, reversed(self.assigned_at)
+            )
         )
+        return max(self.assignment_rate(now), latest / MIN_RATE_WINDOW_SECONDS)
+
+
+def _room(rate: float, before: int) -> float:
+    """Returns the slots a second that earlier requests will leave.
+
+    Args:
+        rate: slots a second.
+        before: requests of the last second that go first.
+    """
+    return max(
+        MIN_ASSIGNMENTS_PER_SECOND,
+        MIN_ROOM_FRACTION * rate,
+        rate - before / RATE_WINDOW_SECONDS,
+    )
--- a/packages/dogwoodhinge/testing/fleet/test_wait_queue.py
+++ b/packages/dogwoodhinge/testing/fleet/test_wait_queue.py
@@ -186,3 +186,20 @@
     assert delays == sorted(delays)
     assert delays[10] - delays[0] == pytest.approx(10 / 20 * 1.25)
     assert delays[-1] <= wait_queue.MAX_RETRY_SECONDS
+
+
+def test_room_of_engines_that_come_back_counts_at_once() -> None:
+    """Regression: requests were rejected that the returned engines could serve.
+
+    Load pattern: most engines are lost, and return a second later.
+    """
+    queue = queue_of(*[wait_order.Waiter(0.0, 9.0) for _ in range(40)])
+    record_assignments(queue, 10, until=1.9)
+    late = wait_order.Waiter(target_at=2.1, wait_until=2.6)
+    queue.join(late, 1.9)
+    for waiter in list(queue.waiters - {late})[:30]:
+        waiter.wait_until = 2.5
+    assert late in queue.find_hopeless(2.0, lead_time=LEAD_SECONDS)
+    for number in range(20):
+        queue.record_assignment(1.9 + number * 0.005)
+    assert late not in queue.find_hopeless(2.0, lead_time=LEAD_SECONDS)
