--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/engine_finder.py
@@ -57,6 +57,10 @@
 # all holders are full.
 SLOTS_SHORT_FOR = datetime.timedelta(seconds=2)
 
+# Load of all holders from which a copy is asked for that no request waits for:
+# it keeps its slot as long as its adapter is in use.
+COPY_MIN_LOAD = 0.75
+
 # Load from which requests for an adapter queue at its holders.
 FULL_LOAD = 1.0
 
@@ -266,15 +270,14 @@
                 avoid=placement_request.avoid | overloaded,
                 max_wait_seconds=0.0,
             )
-            holders_full = all(
-                _load_after_replication(engine) >= FULL_LOAD
-                for engine, _ in holders
+            holders_load = min(
+                _load_after_replication(engine) for engine, _ in holders
             )
             if not self._copy_is_sooner(
                 engines, holders, placement_request, prompt_parts, now
             ):
                 self._request_copy(
-                    service, replica_request, holders_full=holders_full
+                    service, replica_request, holders_load=holders_load
                 )
                 return await self._use_holder(
                     holders, placement_request, prompt_parts, now
@@ -283,7 +286,7 @@
                 return await self._request_placement(service, replica_request)
             except errors.RequestRejectedError as error:
                 self._request_copy(
-                    service, replica_request, holders_full=holders_full
+                    service, replica_request, holders_load=holders_load
                 )
                 # The holders may have changed while the leader was asked.
                 now = asyncio.get_running_loop().time()
@@ -427,7 +430,7 @@
         service: str,
         replica_request: adapter_slots_lib.PlacementRequest,
         *,
-        holders_full: bool,
+        holders_load: float,
     ) -> None:
         """Asks for a copy of an adapter without a request that waits for it.
 
@@ -440,15 +443,18 @@
         Args:
             service: the service of the request's route.
             replica_request: the request for the copy.
-            holders_full: whether all holders are full.
+            holders_load: load of the holder with the least.
         """
         key = replica_request.key
         now = asyncio.get_running_loop().time()
         if key in self.copying or now < self.no_copy_before.get(key, 0.0):
             return
-        if now < self.slots_short_until and not holders_full:
+        full = holders_load >= FULL_LOAD
+        if holders_load < COPY_MIN_LOAD or (
+            now < self.slots_short_until and not full
+        ):
             return
-        wait = COPY_WAIT.total_seconds() if holders_full else 0.0
+        wait = COPY_WAIT.total_seconds() if full else 0.0
         task = asyncio.ensure_future(
             self._place_copy(
                 service,
