Quotas: refused requests make no adapter popular

Callers saw: while an organisation sent several times its quota, adapters were loaded for requests that were refused with 429, and others' were evicted.

Cause: a request counted as use of its adapter before its quota was checked.

Change: it counts once it is admitted.

Tests: `refused_request_makes_no_adapter_popular` failed before (one request begun); test_over_quota.py and test_keys.py: passed.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -203,8 +203,6 @@
     async def _serve(self, call: call_lib.Call, reply: server.Reply) -> None:
         loop = asyncio.get_running_loop()
         self.budget.record_request(call.service, loop.time())
-        key = call.request.adapter
-        self._record_start(key)
         self.running.add(call)
         outcome = "caller_left"
         cost = 0.0
@@ -237,7 +235,6 @@
             if call.organisation is not None and _has_not_run(call, outcome):
                 self.quotas.give_back(call.organisation, cost)
             self.running.discard(call)
-            self._record_end(key)
             self._log(call, reply, outcome)
 
     async def _admit(self, call: call_lib.Call) -> float:
@@ -266,6 +263,7 @@
     async def _forward(self, call: call_lib.Call, reply: server.Reply) -> str:
         timeout = asyncio.timeout_at(call.gateway_timeout_at)
         self.timeouts.add(timeout)
+        self._record_start(call.request.adapter)
         try:
             if call.gateway_timeout_at > self.end_at:
                 raise errors.RequestRejectedError(
@@ -296,6 +294,7 @@
         except Exception as error:
             return self._end_failed(call, reply, error)
         finally:
+            self._record_end(call.request.adapter)
             self.timeouts.discard(timeout)
         return "answered"
 
