The product's own client: resets after a close, servers that end, odd statuses

The client of plain services and engines took a part of an answer without a length as whole if its server closed the connection and reset it at once, or closed it as it ended; and it took 000, 099, 600 and 999 as statuses.

Change: after an answer without a length a copy of its socket is looked at for a reset, and a connection shows whether the server still runs. Statuses outside 200 to 599 are incomplete responses.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/platform/http_client.py
@@ -12,7 +12,9 @@
 import contextlib
 import dataclasses
 import datetime
-from typing import final
+import select
+import socket
+from typing import cast, final
 import urllib.parse
 
 from absl import logging
@@ -32,6 +34,12 @@
 MAX_ERROR_BYTES = 64 * 1024
 ERROR_BODY_TIMEOUT = datetime.timedelta(seconds=1)
 
+# RFC 9110, section 15; the library accepts others.
+FINAL_STATUSES = range(200, 600)
+
+# A reset that follows the end of a response arrives within this time.
+END_WAIT = datetime.timedelta(milliseconds=20)
+
 # aiohttp raises these before it writes any byte of the request.
 NOT_SENT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -127,11 +135,10 @@
         """
         async with self.open(request, timeout=timeout) as response:
             framed = _is_framed(response)
-            closed = None if framed else _closed_future(response)
-            body = await self.read(response, max_bytes=max_body_bytes)
-            if closed is not None and closed.done():
-                # The library takes a reset for the end of the body.
-                closed.result()
+            if framed:
+                body = await self.read(response, max_bytes=max_body_bytes)
+            else:
+                body = await self._read_unframed(response, max_body_bytes)
         return Response(response.status, response.headers, body, framed)
 
     @contextlib.asynccontextmanager
@@ -171,6 +178,10 @@
                 timeout=self._client_timeout(timeout, read_timeout),
                 allow_redirects=False,
             ) as response:
+                if response.status not in FINAL_STATUSES:
+                    raise errors.IncompleteResponseError(
+                        f"{response.status} is no status of a response"
+                    )
                 yield response
         except NOT_SENT_ERRORS as error:
             raise errors.RequestNotSentError(
@@ -206,6 +217,55 @@
                 )
         return bytes(body)
 
+    async def _read_unframed(
+        self, response: aiohttp.ClientResponse, max_bytes: int
+    ) -> bytes:
+        """Reads a body that ends with its connection.
+
+        A server that breaks off may close the connection before it resets it,
+        and one that ends closes it too.
+
+        Raises:
+            IncompleteResponseError: the connection was reset, or the server
+                has ended; or the body is too long.
+        """
+        closed = _closed_future(response)
+        opened = _duplicate_socket(response)
+        try:
+            body = await self.read(response, max_bytes=max_bytes)
+            await asyncio.sleep(END_WAIT.total_seconds())
+            if closed is not None and closed.done():
+                # The library takes a reset for the end of the body.
+                closed.result()
+            if opened is not None and _is_reset(opened):
+                raise errors.IncompleteResponseError(
+                    f"{self.base_url} reset the connection after its response"
+                )
+        finally:
+            if opened is not None:
+                opened.close()
+        await self._check_server_runs()
+        return body
+
+    async def _check_server_runs(self) -> None:
+        url = urllib.parse.urlsplit(self.base_url)
+        port = url.port or (443 if url.scheme == "https" else 80)
+        try:
+            async with asyncio.timeout(self.connect_timeout.total_seconds()):
+                _, writer = await asyncio.open_connection(url.hostname, port)
+        except ConnectionRefusedError as error:
+            raise errors.IncompleteResponseError(
+                f"{self.base_url} ended with its response"
+            ) from error
+        except (OSError, TimeoutError) as error:
+            logging.warning(
+                "unknown whether %s ended with its response: %r",
+                self.base_url,
+                error,
+            )
+            return
+        writer.close()
+
     async def read_error(self, response: aiohttp.ClientResponse) -> bytes:
         """Reads the body of an error; empty if it is too long or too late."""
         try:
@@ -258,6 +318,27 @@
     return "Content-Length" in headers or "Transfer-Encoding" in headers
 
 
+def _duplicate_socket(
+    response: aiohttp.ClientResponse,
+) -> socket.socket | None:
+    """Returns the socket of a response, to look at once the library closed it.
+
+    None if the connection has ended.
+    """
+    connection = response.connection
+    transport = None if connection is None else connection.transport
+    opened = None if transport is None else transport.get_extra_info("socket")
+    if opened is None or opened.fileno() < 0:
+        return None
+    return cast(socket.socket, opened.dup())
+
+
+def _is_reset(opened: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(opened, 0)
+    return bool(poll.poll(0))
+
+
 def _closed_future(
     response: aiohttp.ClientResponse,
 ) -> asyncio.Future[None] | None:
