--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -380,6 +380,7 @@
                 fetched = await _read_beginning(run, response)
                 if response.complete:
                     await self.suspects.confirm_end(run, response)
+                    _check_not_reset(response)
             except BaseException as error:
                 if isinstance(error, errors.OutcomeUnknownError):
                     error.ended_by_engine = response.ended_by_engine
@@ -431,6 +432,7 @@
                 async for chunk in fetched.rest:
                     await reply.write(chunk)
                 await self.suspects.confirm_end(fetched.run, fetched.response)
+                _check_not_reset(fetched.response)
             except BaseException as error:
                 if isinstance(error, errors.GatewayError):
                     now = asyncio.get_running_loop().time()
@@ -461,6 +463,25 @@
         reply.begin(head.status, headers, reason=head.reason)
 
 
+def _check_not_reset(response: sender_lib.OpenResponse) -> None:
+    """Checks that no reset followed the end of a response without framing.
+
+    Nothing in a plain response tells whether it is whole.
+
+    Raises:
+        IncompleteResponseError: the endpoint reset the connection.
+    """
+    if (
+        response.framing is sender_lib.BodyFraming.CLOSE
+        and response.connection.is_reset()
+    ):
+        response.complete = False
+        response.end = sender_lib.ResponseEnd.BROKE_OFF
+        raise sender_lib.IncompleteResponseError(
+            "the endpoint reset the connection after its response"
+        )
+
+
 async def _read_beginning(
     run: suspects_lib.Run, response: sender_lib.OpenResponse
 ) -> FetchedResponse:
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/suspects.py
@@ -357,8 +357,8 @@
         """Checks that an answer without framing did not end with its engine.
 
         The end of its connection completes such an answer, and is all that an
-        engine that crashes leaves of it. A reset after it shows that the answer
-        broke off.
+        engine that crashes leaves of it. A reset after the answer to a request
+        with a body may mean that the engine has not read that body.
 
         Raises:
             IncompleteResponseError: the engine has ended, or has reset the
@@ -368,7 +368,7 @@
             return
         run.unframed = True
         await asyncio.sleep(CONNECTIONS_END_WAIT.total_seconds())
-        if response.connection.is_reset():
+        if response.connection.sent_body and response.connection.is_reset():
             response.complete = False
             response.end = sender_lib.ResponseEnd.BROKE_OFF
             raise sender_lib.IncompleteResponseError(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/http1/connection.py
@@ -93,6 +93,7 @@
         idle_since: loop time of the last use, set by the connection pool.
         holding: what is held for the peer.
         refused: whether the next read fails, since too much is held.
+        sent_body: whether the current message sent has a body.
         unread_since: loop time since which a complete response has not been
             sent; None if it has.
         message_number: number of the current message on this connection,
@@ -138,6 +139,7 @@
         self.owner = owner
         self.holding = memory_budget.Holding()
         self.refused = False
+        self.sent_body = False
         self.unread_since: float | None = None
         self.message_number = 1
         self.message_bytes = 0
@@ -375,6 +377,8 @@
             parts = [self.parser.send(event) or b"" for event in events]
         except h11.LocalProtocolError as error:
             raise errors.ProtocolError(str(error)) from error
+        if any(isinstance(event, h11.Data) for event in events):
+            self.sent_body = True
         self.transport.write(b"".join(parts))
         if self.memory is not None and self.transport.get_write_buffer_size():
             self.count()
@@ -405,6 +409,7 @@
         if self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
+        self.sent_body = False
         self.message_number += 1
         return True
 
