--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/answers.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/answers.py
@@ -13,6 +13,7 @@
 """
 
 import datetime
+import math
 from typing import final
 
 # An engine counts as silent if no connection with a request in progress
@@ -49,7 +50,6 @@
             the engine had not read then.
         backlog: seconds that the engine may need for these, and for answers
             of its service as they usually are.
-        answered: whether the head of the response has arrived.
     """
 
     def __init__(
@@ -64,7 +64,6 @@
         self.unread_tokens = unread_tokens
         self.sent_at = sent_at
         self.backlog = backlog
-        self.answered = False
 
     @property
     def patience(self) -> float:
@@ -76,10 +75,13 @@
 class Answers:
     """What one engine has answered to this node.
 
+    A response that has begun says nothing about the engine while no data of it
+    is read: its caller may read slowly.
+
     Attributes:
-        in_progress: the requests in progress, in the order of their sends.
-        last_data_at: loop time at which data arrived, or at which requests
-            were in progress again after there were none.
+        awaiting: the requests whose responses have not begun, in the order of
+            their sends.
+        last_data_at: loop time at which data last arrived.
         latest_answered: by priority, the loop time at which the latest of the
             answered requests was sent.
         unanswered: whether a request waited in vain since the last data.
@@ -87,8 +89,8 @@
     """
 
     def __init__(self) -> None:
-        self.in_progress: dict[Exchange, None] = {}
-        self.last_data_at = 0.0
+        self.awaiting: dict[Exchange, None] = {}
+        self.last_data_at = -math.inf
         self.latest_answered: dict[int, float] = {}
         self.unanswered = False
         self.probe_at = 0.0
@@ -112,8 +114,6 @@
             unread_tokens: tokens of these prompts.
             priority: priority of the request, 0 is the highest.
         """
-        if not self.in_progress:
-            self.last_data_at = now
         exchange = Exchange(
             priority=priority,
             sent_at=now,
@@ -121,7 +121,7 @@
             backlog=min(backlog, MAX_BACKLOG.total_seconds())
             + USUAL_ANSWERS * usual_seconds,
         )
-        self.in_progress[exchange] = None
+        self.awaiting[exchange] = None
         return exchange
 
     def record_data(self, now: float) -> None:
@@ -132,7 +132,7 @@
 
     def record_head(self, exchange: Exchange) -> None:
         """Records that the response to a request has begun."""
-        exchange.answered = True
+        self.awaiting.pop(exchange, None)
         latest = self.latest_answered.get(exchange.priority, exchange.sent_at)
         self.latest_answered[exchange.priority] = max(latest, exchange.sent_at)
 
@@ -144,19 +144,31 @@
             self.probe_delay = min(
                 2 * self.probe_delay, MAX_PROBE_DELAY.total_seconds()
             )
-        self.in_progress.pop(exchange, None)
-
-    def silent_seconds(self, now: float) -> float:
-        """Returns for how long requests have been in progress without data."""
-        return now - self.last_data_at if self.in_progress else 0.0
+        self.awaiting.pop(exchange, None)
 
     def is_silent(self, exchange: Exchange, now: float) -> bool:
-        """Returns whether the engine says nothing while a request waits."""
+        """Returns whether the engine says nothing while a request waits.
+
+        Requests that were sent before it count: what they have waited shows
+        the silence as well.
+        """
         return (
-            exchange in self.in_progress
-            and self.silent_seconds(now) > exchange.patience
+            exchange in self.awaiting
+            and self.quiet_seconds(now) > exchange.patience
         )
 
+    def quiet_seconds(self, now: float) -> float:
+        """Returns for how long no data has come although some was awaited."""
+        first = next(iter(self.awaiting), None)
+        since = self.last_data_at
+        if first is not None:
+            since = max(since, first.sent_at)
+        return now - since
+
+    def sends_nothing(self, now: float) -> bool:
+        """Returns whether no data arrives, for a stream that waits for some."""
+        return now - self.last_data_at > SILENCE_TIMEOUT.total_seconds()
+
     def is_lost(self, exchange: Exchange, now: float) -> bool:
         """Returns whether a request was passed over by later ones.
 
@@ -182,9 +194,9 @@
 
         One that does not answer gets a single request after a while.
         """
-        first = next(iter(self.in_progress), None)
+        first = next(iter(self.awaiting), None)
         if first is not None and self.is_silent(first, now):
             return False
         if not self.unanswered:
             return True
-        return not self.in_progress and now >= self.probe_at
+        return first is None and now >= self.probe_at
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -357,7 +357,7 @@
     engine: engines_lib.Engine, pool: pool_lib.ConnectionPool, now: float
 ) -> health_lib.Failure:
     """Classifies a failed connect as a lost packet or an engine down."""
-    silence = now - engine.answers.last_data_at
+    silence = engine.answers.quiet_seconds(now)
     if pool.in_use and silence < RECENT_ACTIVITY_WINDOW.total_seconds():
         return health_lib.Failure.CONNECT_FAILED
     return health_lib.Failure.UNREACHABLE
@@ -533,6 +533,8 @@
             answers = _answers_request(
                 decoded, request, connection, repeatable=repeatable
             )
+            if answers:
+                engine.answers.record_head(exchange)
             self._apply_announcement(engine, request, decoded, answers)
             if answers is None:
                 raise errors.OutcomeUnknownError(
@@ -616,7 +618,6 @@
                     continue
                 raise reason from error
             engine.answers.record_data(loop.time())
-            engine.answers.record_head(exchange)
             return head
 
     async def _next_response(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -487,7 +487,7 @@
         now = asyncio.get_running_loop().time()
         if (
             relay.reply.begun
-            and current.engine.answers.may_send(now)
+            and not current.engine.answers.sends_nothing(now)
             and _is_full(selection.engine)
         ):
             # A stream that waits in a queue there may as well wait here.
--- a/packages/dogwoodhinge/testing/fleet/test_answers.py
+++ b/packages/dogwoodhinge/testing/fleet/test_answers.py
@@ -103,3 +103,18 @@
     known.record_head(later)
     assert not known.is_lost(waiting, 0.65)
     assert known.is_lost(waiting, 0.75) is lost
+
+
+def test_response_that_its_caller_reads_slowly_is_no_silence() -> None:
+    """Regression: its engine got no further requests."""
+    known = answers.Answers()
+    read_slowly = known.begin(0.0, backlog=0.0)
+    known.record_data(0.1)
+    known.record_head(read_slowly)
+    assert known.may_send(10.0)
+    later = known.begin(10.0, backlog=0.0)
+    assert not known.is_silent(later, 10.0 + TIMEOUT)
+    assert known.is_silent(later, 10.1 + TIMEOUT)
+    known.end(read_slowly, 20.0)
+    known.end(later, 10.2)
+    assert known.may_send(20.0)
