--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/wait_queue.py
@@ -33,7 +33,7 @@
 # of a few seconds each frees several slots a second.
 MIN_ASSIGNMENTS_PER_SECOND = 4.0
 
-# Fraction of the slots that is expected to be left in any case: a crest may
+# Fraction of the slots that is expected to be left in any case: a load peak may
 # end, and engines may come back, sooner than the last second lets expect.
 MIN_ROOM_FRACTION = 0.15
 
