--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -555,7 +555,8 @@
     ) -> bool:
         """Runs a request."""
         name = request.headers.get("model", "").partition("/")[2]
-        if self.model and self.adapters.get(name, 1e18) > time.monotonic():
+        absent = self.adapters.get(name, 1e18) > time.monotonic()
+        if self.model and name and absent:
             identity = {"Instance-Id": self.engine_id}
             writer.write(answer("421 Misdirected Request", b"", identity))
             return True
