--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -153,6 +153,7 @@
         self.address = address
         self.port = 0
         self.writers: set[asyncio.StreamWriter] = set()
+        self.readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         self.server: asyncio.Server | None = None
 
     async def start(self, port: int = 0) -> None:
@@ -169,6 +170,10 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
+    def has_left(self, writer: asyncio.StreamWriter) -> bool:
+        """Returns whether the peer has closed its connection."""
+        return writer.transport.is_closing() or self.readers[writer].at_eof()
+
     async def respond(
         self, request: Request, writer: asyncio.StreamWriter
     ) -> bool:
@@ -179,6 +184,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.writers.add(writer)
+        self.readers[writer] = reader
         try:
             while True:
                 request = await read_request(reader)
@@ -191,6 +197,7 @@
             return
         finally:
             self.writers.discard(writer)
+            self.readers.pop(writer, None)
             writer.close()
 
 
@@ -754,12 +761,30 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         deadline_ms: int = 5000,
+        patience: float | None = None,
     ) -> Answer:
-        """Sends a request and reads its answer within its deadline."""
+        """Sends a request and reads its answer within its deadline.
+
+        Args:
+            target: path and query.
+            request_id: id of the attempt.
+            method: method of the request.
+            headers: further headers.
+            body: body of the request.
+            deadline_ms: the deadline, which is sent.
+            patience: seconds without a first byte after which it gives up;
+                None if only the deadline counts.
+        """
         try:
             async with asyncio.timeout(deadline_ms / 1000):
                 found = await self._exchange(
-                    target, request_id, method, headers, body, deadline_ms
+                    target,
+                    request_id,
+                    method,
+                    headers,
+                    body,
+                    deadline_ms,
+                    patience,
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self.close()
@@ -784,6 +809,7 @@
         headers: Mapping[str, str] | None,
         body: bytes,
         deadline_ms: int,
+        patience: float | None,
     ) -> Answer:
         if self.writer is None:
             await self.connect()
@@ -798,7 +824,8 @@
             f"caller: sends {request_id} {method} {target} to {self.node.name}"
         )
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        first, found = await read_head(self.reader)
+        async with asyncio.timeout(patience):
+            first, found = await read_head(self.reader)
         status = int(first.split(" ")[1])
         if found.get("transfer-encoding") == "chunked":
             data, whole = await self._read_chunks()
