--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -58,6 +58,11 @@
 version_ms = 5000
 """
 
+CONTRACTS = (
+    '"base","drain","config","cost","retry","recover","fleet","stream",'
+    '"engine","platform"'
+)
+
 Headers = Mapping[str, str]
 
 
@@ -326,7 +331,9 @@
         found = [k for v, t, k in self.log if t == table and v > after]
         return list(dict.fromkeys(found))
 
-    def _transact(self, body: dict[str, list[dict[str, str]]]) -> tuple[str, object]:
+    def _transact(
+        self, body: dict[str, list[dict[str, str]]]
+    ) -> tuple[str, object]:
         for condition in body.get("precondition", ()):
             key = condition["table"], condition["key"]
             _, version = self.rows.get(key, (b"", 0))
@@ -420,9 +427,9 @@
         self.runs: list[Run] = []
         self.heartbeats: asyncio.Task[None] | None = None
         self.listed_port = 0
-        self.history: collections.deque[
-            tuple[float, int, dict[str, float]]
-        ] = collections.deque()
+        self.history: collections.deque[tuple[float, int, dict[str, float]]] = (
+            collections.deque()
+        )
 
     async def start(self, port: int = 0) -> None:
         """Listens, and writes its entry."""
@@ -548,18 +555,14 @@
     def note_run(self, request: Request) -> str:
         """Notes that work on a request begins; returns its id."""
         request_id = request.headers.get("attempt-id", "")
-        self.runs.append(
-            Run(self.record.seconds(), self.engine_id, request_id)
-        )
+        self.runs.append(Run(self.record.seconds(), self.engine_id, request_id))
         self.record.write(
             f"{self.engine_id}: runs {request_id} {request.method} "
             f"{request.target} {dict(request.headers)}"
         )
         return request_id
 
-    async def run(
-        self, request: Request, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Runs a request."""
         name = request.headers.get("model", "").partition("/")[2]
         absent = self.adapters.get(name, 1e18) > time.monotonic()
@@ -574,7 +577,9 @@
         }
         if not self.model:
             await asyncio.sleep(0.02)
-            writer.write(answer("200 OK", b"done " + request_id.encode(), identity))
+            writer.write(
+                answer("200 OK", b"done " + request_id.encode(), identity)
+            )
             return True
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in identity.items()]
@@ -628,7 +633,7 @@
 discovery = "platform"
 entryPoint = "virtual_ip"
 heartbeatIntervalMs = 1200
-contracts = ["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"]
+contracts = [{CONTRACTS}]
 [zones]
 z1 = "r1"
 [listenAddresses]
@@ -813,7 +818,8 @@
     ) -> Answer:
         if self.writer is None:
             await self.connect()
-        assert self.reader is not None and self.writer is not None
+        assert self.reader is not None
+        assert self.writer is not None
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self.host}"]
         lines.append(f"Attempt-Id: {request_id}")
         lines.append(f"Deadline-Ms: {deadline_ms}")
