Review: the stand-ins answer as the pages say

Cause: the engine answered a load of what is there, an unload of what is in use or absent, a fifth load on its way and a load without a place otherwise than PROTOCOL.md; the store answered each waiting read with 410 at its return. Done: both follow the page; engines may start empty and may have one of two models, so that a case can crash or cut one of several.

--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -24,7 +24,13 @@
 
 HEARTBEAT_SECONDS = 1.2
 REPORT_LAG_SECONDS = 0.2
-SILENT_HEARTBEATS = 3
+
+# As on the site's sheet: an adapter takes 250 ms, a tenth of that if it was
+# held recently, and four may be on their way to an engine.
+ADAPTER_SECONDS = 0.25
+MAX_TRANSIT = 4
+
+MODEL_SECONDS = 1.0
 
 FRONTEND_PORT = 8149
 READINESS_PORT = 8141
@@ -244,6 +250,11 @@
             time.monotonic(), dict(self.rows), list(self.log), self.version
         )
 
+    def go_away(self) -> None:
+        """Turns all calls away from now on."""
+        self.away = True
+        self._wake()
+
     def come_back_from(self, copied: Copy) -> None:
         """Comes back from a copy, with the next era."""
         self.rows = dict(copied.rows)
@@ -312,10 +323,9 @@
         if after > self.version:
             return "410 Gone", {}
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
-        era = self.era
-        while not self._keys(table, after):
+        while not self.away and not self._keys(table, after):
             left = until - time.monotonic()
-            if left <= 0 or self.away or era != self.era:
+            if left <= 0 or after > self.version:
                 break
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
@@ -323,7 +333,7 @@
                 break
         if self.away:
             return "503 Service Unavailable", {}
-        if era != self.era:
+        if after > self.version:
             return "410 Gone", {}
         return "200 OK", self._answer(table, self._keys(table, after), False)
 
@@ -397,7 +407,19 @@
 
 
 class Engine(Server):
-    """A model engine with adapters, or a plain one if it has no model."""
+    """A model engine with adapters, or a plain one if it has no model.
+
+    Attributes:
+        model: name of the base model that it may hold; empty for a plain one.
+        model_at: when it has its base model; infinite without one.
+        adapters: when each adapter serves.
+        versions: versions of the adapters.
+        newest: newest versions in the store of weights.
+        known: adapters that it has held, which load faster.
+        running: requests that it runs, by adapter.
+        unloading: adapters that are dropped once their requests have ended.
+        overfilled: orders for which it had no place.
+    """
 
     def __init__(
         self,
@@ -408,6 +430,7 @@
         store: Store,
         record: Record,
         model: str = "",
+        empty: bool = False,
         slots: int = 8,
         adapter_slots: int = 4,
     ) -> None:
@@ -420,7 +443,14 @@
         self.slots = slots
         self.adapter_slots = adapter_slots
         self.born = int(time.time() * 1000)
+        self.model_at = float("inf") if empty else 0.0
         self.adapters: dict[str, float] = {}
+        self.versions: dict[str, int] = {}
+        self.newest: dict[str, int] = {}
+        self.known: set[str] = set()
+        self.running: collections.Counter[str] = collections.Counter()
+        self.unloading: set[str] = set()
+        self.overfilled: list[str] = []
         self.sequence = 0
         self.state = "ready"
         self.orders: list[Order] = []
@@ -448,6 +478,18 @@
             self.heartbeats.cancel()
         self.stop()
 
+    def restart_empty(self) -> None:
+        """Begins a new start under the same id; it knows nothing of before."""
+        self.born = int(time.time() * 1000)
+        self.model_at = float("inf")
+        self.adapters.clear()
+        self.versions.clear()
+        self.known.clear()
+        self.running.clear()
+        self.unloading.clear()
+        self.sequence = 0
+        self.history.clear()
+
     def entry(self) -> dict[str, object]:
         """Returns what it says of itself in the store."""
         return {
@@ -467,9 +509,13 @@
     def _models(
         self, adapters: dict[str, float], at: float
     ) -> list[dict[str, object]]:
-        if not self.model:
+        if not self.model or at < self.model_at:
             return []
-        ready = [f"{n}@1" for n, ready_at in adapters.items() if ready_at <= at]
+        ready = [
+            f"{name}@{self.versions.get(name, 1)}"
+            for name, ready_at in adapters.items()
+            if ready_at <= at
+        ]
         return [{"name": self.model, "version": 1, "adapters": ready}]
 
     def _remember(self) -> None:
@@ -485,12 +531,15 @@
         return {
             "stage": "colocated",
             "models": self._models(adapters, at),
-            "pending": [f"{self.model}/{name}@1" for name in pending],
-            "busy": False,
+            "pending": [
+                f"{self.model}/{name}@{self.versions.get(name, 1)}"
+                for name in pending
+            ],
+            "busy": at < self.model_at < float("inf"),
             "sequence": sequence,
             "born": self.born,
             "waiting": 0,
-            "running": 0,
+            "running": self.running.total(),
             "kvCacheUsed": 0,
             "kvCacheTotal": 200_000,
             "handles": 0,
@@ -502,8 +551,7 @@
         """Answers a call or a request."""
         expected = request.headers.get("expected-instance")
         if expected not in (None, self.engine_id):
-            identity = {"Instance-Id": self.engine_id}
-            writer.write(answer("421 Misdirected Request", b"", identity))
+            writer.write(self._misdirected())
             return True
         if request.path == "/report":
             writer.write(json_answer("200 OK", self._report()))
@@ -517,8 +565,14 @@
             return True
         return await self.run(request, writer)
 
-    def take_order(self, order: dict[str, object]) -> str:
+    def _misdirected(self) -> bytes:
+        identity = {"Instance-Id": self.engine_id}
+        return answer("421 Misdirected Request", b"", identity)
+
+    def take_order(self, order: dict[str, object], *, note: str = "") -> str:
         """Carries out an order; returns the status of the answer."""
+        if "holder" not in order or "fencingToken" not in order:
+            return "400 Bad Request"
         text = json.dumps(order)
         self.orders.append(
             Order(
@@ -530,27 +584,63 @@
             )
         )
         status = self._carry_out(order)
-        self.record.write(f"{self.engine_id}: order {text} -> {status}")
+        self.record.write(f"{self.engine_id}: {note}order {text} -> {status}")
         return status
 
     def _carry_out(self, order: dict[str, object]) -> str:
+        """Carries out an order as the page of the protocol says."""
+        now = time.monotonic()
         name = str(order.get("adapter", ""))
-        if not name or order["model"] != self.model:
+        loads = order["operation"] == "loading"
+        if order["model"] != self.model:
             return "400 Bad Request"
         if order.get("precondition", self.sequence) != self.sequence:
             return "409 Conflict"
-        if order["operation"] == "loading":
-            if name not in self.adapters:
-                if len(self.adapters) >= self.adapter_slots:
-                    raise CannotRunError("the engine has no slot left")
-                self.adapters[name] = time.monotonic() + 0.25
-            self.sequence += 1
-            self._remember()
-            return "202 Accepted"
-        self.adapters.pop(name, None)
+        if now < self.model_at < float("inf"):
+            return "409 Conflict"  # the order for the base model is under way
+        if not name:
+            if not loads:
+                return "400 Bad Request"  # no case unloads a base model
+            if self.model_at <= now:
+                return "200 OK"
+            self.model_at = now + MODEL_SECONDS
+            return self._accepted("202 Accepted")
+        if now < self.model_at:
+            return "400 Bad Request"
+        if loads:
+            return self._load(name, order, now)
+        if name not in self.adapters:
+            return "200 OK"
+        if self.running[name]:
+            self.unloading.add(name)
+            return self._accepted("202 Accepted")
+        del self.adapters[name]
+        return self._accepted("200 OK")
+
+    def _load(self, name: str, order: dict[str, object], now: float) -> str:
+        version = int(str(order.get("version") or self.newest.get(name, 1)))
+        if name in self.adapters and self.versions[name] >= version:
+            return "200 OK"
+        if name not in self.adapters:
+            if sum(at > now for at in self.adapters.values()) >= MAX_TRANSIT:
+                return "409 Conflict"
+            if len(self.adapters) >= self.adapter_slots:
+                self.overfilled.append(json.dumps(order))
+                self.record.write(f"{self.engine_id}: crashes, no place left")
+                self.end()
+                return "500 Internal Server Error"
+        elif self.running[name]:
+            return "409 Conflict"  # no case replaces an adapter in use
+        seconds = ADAPTER_SECONDS / (10 if name in self.known else 1)
+        self.known.add(name)
+        self.adapters[name] = now + seconds
+        self.versions[name] = version
+        return self._accepted("202 Accepted")
+
+    def _accepted(self, status: str) -> str:
         self.sequence += 1
         self._remember()
-        return "200 OK"
+        return status
 
     def note_run(self, request: Request) -> str:
         """Notes that work on a request begins; returns its id."""
@@ -562,37 +652,96 @@
         )
         return request_id
 
+    def rejection(self, request: Request) -> bytes | None:
+        """Returns why a request can't begin now; None if it can."""
+        if not self.model:
+            return None
+        model, _, name = request.headers.get("model", "").partition("/")
+        now = time.monotonic()
+        if name in self.unloading:
+            return answer(
+                "503 Service Unavailable",
+                b"",
+                {
+                    "Attempt-Id": request.headers.get("attempt-id", ""),
+                    "Not-Executed": "1",
+                },
+            )
+        expected = request.headers.get("expected-version")
+        if (
+            model != self.model
+            or now < self.model_at
+            or (name and self.adapters.get(name, float("inf")) > now)
+            or (name and expected not in (None, str(self.versions[name])))
+        ):
+            return self._misdirected()
+        return None
+
+    def begin(self, request: Request) -> str:
+        """Notes that a request begins; `end_run` must follow."""
+        name = request.headers.get("model", "").partition("/")[2]
+        self.running[name] += 1
+        return self.note_run(request)
+
+    def end_run(self, request: Request) -> None:
+        """Notes that a request has ended."""
+        name = request.headers.get("model", "").partition("/")[2]
+        self.running[name] -= 1
+        if name in self.unloading and not self.running[name]:
+            self.unloading.discard(name)
+            self.adapters.pop(name, None)
+            self._remember()
+
     async def run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Runs a request."""
-        name = request.headers.get("model", "").partition("/")[2]
-        absent = self.adapters.get(name, 1e18) > time.monotonic()
-        if self.model and name and absent:
-            identity = {"Instance-Id": self.engine_id}
-            writer.write(answer("421 Misdirected Request", b"", identity))
+        rejection = self.rejection(request)
+        if rejection is not None:
+            writer.write(rejection)
             return True
-        request_id = self.note_run(request)
-        identity = {
+        request_id = self.begin(request)
+        try:
+            if self.model:
+                first = int(request.headers.get("last-event-id", "0")) + 1
+                await self.stream(request_id, writer, range(first, 7), 0.02)
+            else:
+                await asyncio.sleep(0.02)
+                writer.write(
+                    answer(
+                        "200 OK",
+                        b"done " + request_id.encode(),
+                        self.identity(request_id),
+                    )
+                )
+        finally:
+            self.end_run(request)
+        return True
+
+    def identity(self, request_id: str) -> dict[str, str]:
+        """Returns the headers of an answer to a request that ran."""
+        return {
             "Attempt-Id": request_id,
             "Response-Signature": f"sig.{request_id}",
         }
-        if not self.model:
-            await asyncio.sleep(0.02)
-            writer.write(
-                answer("200 OK", b"done " + request_id.encode(), identity)
-            )
-            return True
+
+    async def stream(
+        self,
+        request_id: str,
+        writer: asyncio.StreamWriter,
+        numbers: range,
+        seconds: float,
+    ) -> None:
+        """Streams events with some seconds between them."""
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-        lines += [f"{name}: {value}" for name, value in identity.items()]
+        for name, value in self.identity(request_id).items():
+            lines.append(f"{name}: {value}")
         lines.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        first = int(request.headers.get("last-event-id", "0")) + 1
-        for number in range(first, 7):
+        for number in numbers:
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(seconds)
         writer.write(b"0\r\n\r\n")
-        return True
 
 
 class Node:
@@ -955,14 +1104,16 @@
                     "weightsSizeMb": 100.0,
                     "adapterSlots": 4,
                     "loadsPerS": 3.0,
+                    # An engine has memory for one of them.
                     "models": [
                         {
-                            "name": "base",
+                            "name": name,
                             "weightsSizeMb": 60.0,
-                            "loadTimeS": 1.0,
+                            "loadTimeS": MODEL_SECONDS,
                             "adapters": 50,
                             "adapterSizeMb": 1.0,
                         }
+                        for name in ("base", "other")
                     ],
                 },
             },
