Logs: how old the list of endpoints was when a request was sent

Callers' requests reached endpoints that had left. The logs could not tell whether the node had known it, how old an update of the leader was on arrival, or what outage an endpoint was kept for.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/engines.py
@@ -1,6 +1,6 @@
 """A node's view of the engines and of the adapters loaded on them."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 import dataclasses
 import math
 from typing import final
@@ -131,9 +131,14 @@
     Attributes:
         engines: the engines and endpoints, by id.
         service_paces: what those of a service have in common, by service.
+        list_confirmed_at: returns the loop time up to which no change of the
+            endpoint list is missing here; minus infinity if it was never read.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, list_confirmed_at: Callable[[], float] = lambda: -math.inf
+    ) -> None:
+        self.list_confirmed_at = list_confirmed_at
         self.engines: dict[str, Engine] = {}
         self.service_paces: dict[str, engine_pace.ServicePace] = {}
 
@@ -161,6 +166,10 @@
             removed.listed = False
         return removed
 
+    def list_age(self, now: float) -> float:
+        """Returns the age of the endpoint list in seconds; may be infinite."""
+        return now - self.list_confirmed_at()
+
     def serving(self, service: str) -> list[Engine]:
         """Returns the endpoints of a service that accept new requests."""
         return [e for e in self.of_service(service) if not e.leaving]
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -46,6 +46,8 @@
             node or to the leader; None before the first one.
         lost: whether a read of this node has failed since then.
         restored_at: loop time of the first response after the last outage.
+        outage_seconds: time without a response before that.
+        read_failure: why the last read failed that this node has tried.
         missing: endpoints that may reappear, with the loop time at which they
             are removed if they do not.
         written: endpoints whose entries were written since the last recovery.
@@ -70,6 +72,8 @@
         self.responded_at: float | None = None
         self.lost = False
         self.restored_at = 0.0
+        self.outage_seconds = 0.0
+        self.read_failure = ""
         self.missing: dict[str, float] = {}
         self.written: set[str] = set()
         self.responses = 0
@@ -169,6 +173,8 @@
                     {
                         "engine": engine_id,
                         "kept_ms": int((expires_at - now) * 1000),
+                        "outage_ms": int(self.outage_seconds * 1000),
+                        "read_failed": self.read_failure,
                     },
                 )
             return
@@ -242,6 +248,7 @@
         if self.source_available:
             self.report("endpoint_list_lost", {"reason": reason})
         self.source_available = False
+        self.read_failure = reason
         self.lost = True
 
     def source_responded(self, at: float) -> None:
@@ -257,6 +264,7 @@
         # between two of them alone does not show an outage.
         if self.lost and at - previous >= MIN_OUTAGE.total_seconds():
             self.restored_at = at
+            self.outage_seconds = at - previous
             self.written.clear()
             self.responses = 0
         self.lost = False
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/call.py
@@ -51,6 +51,8 @@
         may_have_run: whether it was sent and no engine confirmed that it did
             not run.
         sent_at: loop time of the last send to an engine.
+        list_ages: age of the endpoint list at each send to an engine, in
+            seconds, in order.
         first_byte_at: loop time of the first byte to the caller.
         events: number of stream events or chunks forwarded.
         last_event_at: loop time of the last of them.
@@ -95,6 +97,7 @@
         self.retry_due = False
         self.may_have_run = False
         self.sent_at: float | None = None
+        self.list_ages: list[float] = []
         self.first_byte_at: float | None = None
         self.events = 0
         self.longest_pause = 0.0
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/handler.py
@@ -429,6 +429,11 @@
             fields["first_byte_ms"] = int(first_byte * 1000)
         if sent is not None:
             fields["sent_ms"] = int(sent * 1000)
+        if call.list_ages:
+            fields["list_ages_ms"] = [
+                int(age * 1000) if math.isfinite(age) else None
+                for age in call.list_ages
+            ]
         if call.organisation is not None:
             fields["organisation"] = call.organisation_name
             fields["key"] = call.request.key_digest
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/plain.py
@@ -379,6 +379,9 @@
                     resume_after=call.request.resume_after,
                 ),
                 repeatable=call.route.repeatable,
+                record_send=lambda: call.list_ages.append(
+                    self.directory.list_age(asyncio.get_running_loop().time())
+                ),
             )
             try:
                 check_response(response.head)
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/sender.py
@@ -422,6 +422,7 @@
         repeatable: bool,
         whole: bool = False,
         prepare_switch: PrepareSwitch | None = None,
+        record_send: Callable[[], None] = lambda: None,
     ) -> OpenResponse:
         """Sends a request and reads the head of the response.
 
@@ -436,6 +437,8 @@
                 counts as lost, while the response is still awaited; returns
                 whether another engine is ready for the request. None to wait
                 for the response without a limit.
+            record_send: called when a connection is there and the request is
+                about to be sent on it.
 
         Raises:
             NotRunError: the engine did not run the request.
@@ -469,6 +472,7 @@
         )
         try:
             _check_takes_work(engine, loop.time())
+            record_send()
             return await self._exchange(
                 engine,
                 exchange,
--- a/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/gateway/streams.py
@@ -358,6 +358,9 @@
                 whole=not call.route.streamed
                 and call.request.adapter is not None,
                 prepare_switch=prepare_switch,
+                record_send=lambda: call.list_ages.append(
+                    self.engine_finder.directory.list_age(loop.time())
+                ),
             )
             try:
                 unread_prompt.end()
