Endpoint list: a failed read counts until a later answer

Callers were refused after outages of the store: nodes removed live endpoints as soon as the store was back, up to two seconds before their entries were.

Cause: an update of the leader forgot the node's own failed read, also if it told of no later answer of the store; and a read that failed by its timeout was noticed only after others had been answered. Without a failed read the node saw no outage, so that each entry that had lapsed counted as that of an endpoint that has left.

A read counts as failed at the moment at which it began, and shows an outage if that lies between two known answers, whichever of the two is learned first.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -12,8 +12,10 @@
 gone, nor an earlier start, and it changes nothing that is known of one; it only
 shows that the endpoint is not missing.
 
-The store has recovered once it responds to any node: this one may have no
-reason to read it for a long time while the leader's updates cover it.
+The store is away only while it responds to no node: it may refuse this one and
+serve all others and the endpoints. It has recovered once it responds to any
+node: this one may have no reason to read it for a long time while the leader's
+updates cover it.
 """
 
 import asyncio
@@ -42,12 +44,16 @@
 
     Attributes:
         on_gone: callbacks, called with each endpoint that is removed.
-        responded_at: loop time of the source's latest known response, to this
-            node or to the leader; None before the first one.
-        lost: whether a read of this node has failed since then.
+        responded_at: loop time of the source's latest known response to any
+            node; None before the first one.
+        asked_at: loop time at which this node's read in progress began; None
+            if there is none.
+        failed_at: loop time at which the last of them began that failed.
+        gap: loop times of the last two known responses between which an outage
+            may lie.
         restored_at: loop time of the first response after the last outage.
         outage_seconds: time without a response before that.
-        read_failure: why the last read failed that this node has tried.
+        read_failure: why this node's last failed read did.
         missing: endpoints that may reappear, with the loop time at which they
             are removed if they do not.
         written: endpoints whose entries were written since the last recovery.
@@ -70,7 +76,9 @@
         self.on_gone: list[Callable[[engines_lib.Engine], None]] = []
         self.source_available = False
         self.responded_at: float | None = None
-        self.lost = False
+        self.asked_at: float | None = None
+        self.failed_at = -math.inf
+        self.gap = (-math.inf, -math.inf)
         self.restored_at = 0.0
         self.outage_seconds = 0.0
         self.read_failure = ""
@@ -243,16 +251,23 @@
         )
         return None
 
+    def source_asked(self) -> None:
+        """Records that a read of this node begins."""
+        self.asked_at = self._now()
+
     def source_lost(self, reason: str) -> None:
         """Records that the list can't be read."""
         if self.source_available:
             self.report("endpoint_list_lost", {"reason": reason})
         self.source_available = False
         self.read_failure = reason
-        self.lost = True
+        self.failed_at = self._now() if self.asked_at is None else self.asked_at
+        self.asked_at = None
+        # A read may fail late, by a timeout, when others have been answered.
+        self._record_outage()
 
     def source_responded(self, at: float) -> None:
-        """Records a response of the list's source, to this node or the leader.
+        """Records a response of the list's source to any node.
 
         Args:
             at: loop time of the response.
@@ -260,15 +275,25 @@
         previous = at if self.responded_at is None else self.responded_at
         if at < previous:
             return
-        # A node learns of only some responses to the leader, so that the time
-        # between two of them alone does not show an outage.
-        if self.lost and at - previous >= MIN_OUTAGE.total_seconds():
-            self.restored_at = at
-            self.outage_seconds = at - previous
+        if at - previous >= MIN_OUTAGE.total_seconds():
+            self.gap = (previous, at)
+            self._record_outage()
+        self.responded_at = at
+
+    def _record_outage(self) -> None:
+        """Records the end of an outage if this node has noticed one.
+
+        It learns of only some responses to others, so that the time between
+        two of them alone does not show an outage.
+        """
+        last_response, first_response = self.gap
+        if not last_response <= self.failed_at <= first_response:
+            return
+        if self.restored_at < first_response:
+            self.restored_at = first_response
+            self.outage_seconds = first_response - last_response
             self.written.clear()
             self.responses = 0
-        self.lost = False
-        self.responded_at = at
 
     def source_restored(self, away: float) -> None:
         """Records a response of the list's source to this node.
@@ -277,6 +302,7 @@
             away: seconds since the previous response to this node.
         """
         now = self._now()
+        self.asked_at = None
         if self.responded_at is None:
             self.responded_at = now - away
         self.source_responded(now)
