Endpoint list: refusals of the leader are no outage of the store

Callers' requests reached endpoints up to 3.1 s after the store had acknowledged that they leave, where 3.0 s are allowed (2.0 s elsewhere).

Cause: the store refused the leader for little more than two seconds and served all others. The leader took that for an outage, kept each endpoint whose entry was removed for 2.2 s after its return, longer if refused again, and still told all nodes that they missed nothing. A node's own view stood for that of the fleet.

Change: the store is away only while it answers no node. Each node reports its own last answer with its syncs, and the leader passes the newest on. What a node puts off it does not count as read, so that the others go by what they read themselves. They read sooner, from 1 s on, while the leader says that it can't.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/fleet_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import math
 from typing import TypeAlias, final
 
 from grpclib import server as grpc_server
@@ -244,6 +245,7 @@
         now = asyncio.get_running_loop().time()
         self.record_leaving(request.leaving)
         self.receive_quarantine(request.quarantine, write=True)
+        record_responses(self.updates, request.known, now)
         placement = self.leader.placement
         token = self.leader.lease.token
         changes = None
@@ -274,13 +276,7 @@
             lease_era=lease_revision.era,
             store_era=self.store_era.current or 0,
             may_order=self.leader.lease.may_order(),
-            news=self._encode_updates(
-                {
-                    n.table: revisions.Revision(n.era, n.revision)
-                    for n in request.known
-                },
-                unread=frozenset(request.unread),
-            ),
+            news=encode_updates(self.updates, request, now),
             leaving=encode_leaving(self.leader.directory),
             quarantine=self.encode_quarantine(),
             quotas=self._grant_quotas(request.node, request.quotas),
@@ -317,34 +313,75 @@
         for row in rows:
             self.quarantine.receive(row.key, row.value, write=write)
 
-    def _encode_updates(
-        self,
-        known: dict[str, revisions.Revision],
-        *,
-        unread: frozenset[str],
-    ) -> list[fleet_pb2.TableNews]:
-        now = asyncio.get_running_loop().time()
-        encoded = []
-        for table, state in self.updates.local_states.items():
-            rows = None
-            if table in known:
-                rows = self.updates.logs[table].since(
-                    known[table],
-                    max_bytes=table_updates_lib.MAX_UNREAD_BYTES
-                    if table in unread
-                    else table_updates_lib.MAX_UPDATE_BYTES,
-                )
-            encoded.append(
-                fleet_pb2.TableNews(
-                    table=table,
-                    revision=state.revision.number,
-                    era=state.revision.era,
-                    age_ms=round((now - state.read_at) * 1000),
-                    complete=rows is not None,
-                    rows=[_encode_row(row) for row in rows or ()],
-                )
+
+def encode_known(
+    updates: table_updates_lib.TableUpdates, now: float
+) -> list[fleet_pb2.TableNews]:
+    """Returns what this node knows of each table, for the leader."""
+    return [
+        fleet_pb2.TableNews(
+            table=table,
+            revision=revision.number,
+            era=revision.era,
+            response_age_ms=_age_ms(
+                updates.responses.get(table, -math.inf), now
+            ),
+        )
+        for table, revision in updates.applied.items()
+    ]
+
+
+def record_responses(
+    updates: table_updates_lib.TableUpdates,
+    known: Iterable[fleet_pb2.TableNews],
+    now: float,
+) -> None:
+    """Records when the store has responded to the sender of a request."""
+    for table in known:
+        if table.HasField("response_age_ms"):
+            updates.record_peer_response(
+                table.table, now - table.response_age_ms / 1000
+            )
+
+
+def encode_updates(
+    updates: table_updates_lib.TableUpdates,
+    request: fleet_pb2.SyncRequest,
+    now: float,
+) -> list[fleet_pb2.TableNews]:
+    """Returns the state of each table, with the rows that a node lacks."""
+    known = {
+        table.table: revisions.Revision(table.era, table.revision)
+        for table in request.known
+    }
+    encoded = []
+    for table, state in updates.local_states.items():
+        rows = None
+        if table in known:
+            rows = updates.logs[table].since(
+                known[table],
+                max_bytes=table_updates_lib.MAX_UNREAD_BYTES
+                if table in request.unread
+                else table_updates_lib.MAX_UPDATE_BYTES,
+            )
+        encoded.append(
+            fleet_pb2.TableNews(
+                table=table,
+                revision=state.revision.number,
+                era=state.revision.era,
+                age_ms=_age_ms(state.read_at, now),
+                unread=table in updates.unread,
+                response_age_ms=_age_ms(updates.last_response(table), now),
+                complete=rows is not None,
+                rows=[_encode_row(row) for row in rows or ()],
             )
-        return encoded
+        )
+    return encoded
+
+
+def _age_ms(at: float, now: float) -> int | None:
+    """Returns the milliseconds since a loop time, rounded up."""
+    return max(0, math.ceil((now - at) * 1000)) if math.isfinite(at) else None
 
 
 def encode_leaving(
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -1,7 +1,7 @@
 """An entry node's calls to the leader."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 import datetime
 import math
 from typing import TypeVar, final
@@ -57,6 +57,32 @@
     ]
 
 
+def apply_updates(
+    updates: table_updates_lib.TableUpdates,
+    news: Iterable[fleet_pb2.TableNews],
+    at: float,
+) -> None:
+    """Applies what the leader has sent about the tables.
+
+    Args:
+        updates: this node's table updates.
+        news: the leader's messages.
+        at: loop time that the ages in them count from.
+    """
+    for update in news:
+        responded_at = None
+        if update.HasField("response_age_ms"):
+            responded_at = at - update.response_age_ms / 1000
+        updates.apply_update(
+            update.table,
+            revisions.Revision(update.era, update.revision),
+            at - update.age_ms / 1000,
+            _decode_rows(update),
+            unread=update.unread,
+            responded_at=responded_at,
+        )
+
+
 @final
 class LeaderClient:
     """Calls the leader, in this process or on another node.
@@ -265,11 +291,9 @@
         request.leaving.extend(fleet_server.encode_leaving(self.directory))
         request.quarantine.extend(self.local.encode_quarantine())
         request.unread.extend(self.local.updates.unread)
+        began_at = asyncio.get_running_loop().time()
         request.known.extend(
-            fleet_pb2.TableNews(
-                table=table, revision=revision.number, era=revision.era
-            )
-            for table, revision in self.local.updates.applied.items()
+            fleet_server.encode_known(self.local.updates, began_at)
         )
         if self._is_local():
             reply = self.local.sync(request)
@@ -298,13 +322,7 @@
             reply.lease_era, reply.lease_revision
         )
         self.leader_may_order = reply.may_order
-        for update in reply.news:
-            self.local.updates.apply_update(
-                update.table,
-                revisions.Revision(update.era, update.revision),
-                now - update.age_ms / 1000,
-                _decode_rows(update),
-            )
+        apply_updates(self.local.updates, reply.news, now)
         self.peers = tuple(
             peer for peer in reply.peers if peer != self.own_address
         )
--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -10,6 +10,10 @@
 wants changes known: with hundreds of nodes, which sync less often each, a
 shorter one would make all of them read the store all the time.
 
+Load pattern: the store refuses the leader and serves all others. Nodes then
+read it themselves sooner. What the leader puts off, since it may have missed an
+outage, it does not count as read, so that the others decide for themselves.
+
 Revisions of different eras of the store are not compared: a node reads each
 table itself once in each era, and passes on and applies only updates of the
 era in which it has read the table.
@@ -29,6 +33,11 @@
 # information is too old.
 READ_MARGIN = datetime.timedelta(milliseconds=600)
 
+# Age of the leader's information from which nodes read a table themselves while
+# the leader can't. An outage of the store in which entries of endpoints lapse
+# is longer, so that each node has noticed it itself.
+LEADER_UNREAD_AGE = datetime.timedelta(seconds=1)
+
 # Rows kept for other nodes; a burst of declared versions has several dozen.
 MAX_ROWS = 500
 
@@ -62,11 +71,13 @@
 
     Attributes:
         revision: revision of the last relevant change.
-        read_at: loop time at which the table was last read.
+        read_at: loop time up to which no relevant change is missing.
+        unread: whether the last attempt to read the table has failed.
     """
 
     revision: revisions.Revision
     read_at: float
+    unread: bool = False
 
 
 class ReadCause(enum.StrEnum):
@@ -75,6 +86,7 @@
     LEADER = "leader"
     FIRST = "first"
     OUTDATED = "outdated"  # the leader's information is too old
+    UNREAD = "unread"  # the leader can't read the table
     BEHIND = "behind"  # the leader could not send all rows
     INTERVAL = "interval"  # from time to time, in any case
     DUE = "due"  # an endpoint that is missing may be removed
@@ -140,8 +152,12 @@
         confirmations: by table, the loop time at which it last missed none.
         row_handlers: by table, the callback that applies rows sent by the
             leader.
-        read_handlers: by table, the callback that is called with the loop time
-            of the leader's latest read.
+        responses: by table, the loop time of the store's last response to this
+            node.
+        peer_responses: by table, that of its last known response to any other
+            node.
+        response_handlers: by table, the callback that is called with the loop
+            time of a response to another node.
         known_within: returns the time within which changes must be known.
     """
 
@@ -162,29 +178,57 @@
         self.applied: dict[str, revisions.Revision] = {}
         self.logs: dict[str, RowLog] = {}
         self.row_handlers: dict[str, Callable[[list[Row]], None]] = {}
-        self.read_handlers: dict[str, Callable[[float], None]] = {}
+        self.responses: dict[str, float] = {}
+        self.peer_responses: dict[str, float] = {}
+        self.response_handlers: dict[str, Callable[[float], None]] = {}
+
+    def record_response(self, table: str, at: float) -> None:
+        """Records the loop time of a response of the store to this node."""
+        self.responses[table] = at
+
+    def record_peer_response(self, table: str, at: float) -> None:
+        """Records the loop time of a response of the store to another node."""
+        known = self.peer_responses.get(table, -math.inf)
+        self.peer_responses[table] = max(at, known)
+        handle = self.response_handlers.get(table)
+        if handle is not None:
+            handle(at)
+
+    def last_response(self, table: str) -> float:
+        """Returns the loop time of the last known response to any node.
+
+        Minus infinity if none is known.
+        """
+        return max(
+            self.responses.get(table, -math.inf),
+            self.peer_responses.get(table, -math.inf),
+        )
 
     def record_read(
         self,
         table: str,
         revision: revisions.Revision,
-        now: float,
+        read_at: float,
         *,
         rows: list[Row] | None,
         latest: revisions.Revision | None = None,
+        complete: bool = True,
     ) -> None:
-        """Records a response of the store to this node.
+        """Records what this node has read of a table.
 
         Args:
             table: name of the table.
             revision: revision up to which it was read.
-            now: loop time.
+            read_at: loop time no later than the moment that the response
+                describes.
             rows: the relevant changed rows; None if they do not describe every
                 relevant change, so that other nodes have to read the table.
             latest: revision of the newest of several responses that `revision`
                 stands for, if they are of different moments. A change between
                 the two may have been seen already, and then shows no change in
                 a later response.
+            complete: whether all changes have been applied. Other nodes are
+                not told that this node missed none while some are put off.
         """
         latest = latest or revision
         self.unread.discard(table)
@@ -201,8 +245,11 @@
             log.add(rows)
         if known is not None and rows == [] and not is_new_era:
             changed_at = known.revision
-        self.local_states[table] = TableState(changed_at, now)
-        self._confirm(table, now)
+        if complete:
+            self.local_states[table] = TableState(changed_at, read_at)
+            self._confirm(table, read_at)
+        elif known is not None:
+            self.local_states[table] = TableState(changed_at, known.read_at)
 
     def is_overtaken(self, table: str, revision: revisions.Revision) -> bool:
         """Returns whether a table was applied up to a later revision.
@@ -222,22 +269,28 @@
         revision: revisions.Revision,
         read_at: float,
         rows: list[Row] | None,
+        *,
+        unread: bool = False,
+        responded_at: float | None = None,
     ) -> None:
         """Records an update from the leader and applies the rows it contains.
 
         Args:
             table: name of the table.
             revision: revision of the last relevant change.
-            read_at: loop time at which the leader read the table.
+            read_at: loop time up to which the leader missed no change.
             rows: all relevant changes that this node lacks; None if the
                 leader can't send them.
+            unread: whether the leader's last attempt to read it has failed.
+            responded_at: loop time of the store's last response to any node
+                that the leader knows of; None if that is `read_at`.
         """
         if not self.store_era.observe_peer(revision.era, source="table_update"):
             return
-        self.leader_states[table] = TableState(revision, read_at)
-        record_leader_read = self.read_handlers.get(table)
-        if record_leader_read is not None:
-            record_leader_read(read_at)
+        self.leader_states[table] = TableState(revision, read_at, unread)
+        self.record_peer_response(
+            table, read_at if responded_at is None else responded_at
+        )
         applied = self.applied.get(table)
         if applied is None or applied.era != revision.era:
             return
@@ -300,7 +353,10 @@
             return ReadCause.ERA
         if state.revision.era != applied.era:
             return ReadCause.OUTDATED
-        if now - state.read_at >= self.max_age.total_seconds():
+        age = now - state.read_at
+        if age >= self.max_age.total_seconds():
             return ReadCause.OUTDATED
+        if state.unread and age >= LEADER_UNREAD_AGE.total_seconds():
+            return ReadCause.UNREAD
         is_behind = state.revision.is_after(applied)
         return ReadCause.BEHIND if is_behind else None
--- a/packages/dogwoodhinge/testing/fleet/test_table_updates.py
+++ b/packages/dogwoodhinge/testing/fleet/test_table_updates.py
@@ -5,6 +5,9 @@
 
 import pytest
 
+from _dogwoodhinge.fleet import fleet_pb2
+from _dogwoodhinge.fleet import fleet_server
+from _dogwoodhinge.fleet import leader_client
 from _dogwoodhinge.fleet import revisions
 from _dogwoodhinge.fleet import table_updates
 
@@ -61,6 +64,59 @@
     assert known.read_cause(TABLE, 10.0 + age) is cause
 
 
+@pytest.mark.parametrize(
+    ("age", "cause"),
+    [(0.5, None), (1.1, table_updates.ReadCause.UNREAD)],
+    ids=["soon", "later"],
+)
+def test_table_that_the_leader_can_not_read_is_read_sooner(
+    age: float, cause: table_updates.ReadCause | None
+) -> None:
+    """The store may refuse the leader alone."""
+    known = follower()
+    known.apply_update(TABLE, at(5), 10.0, None, unread=True)
+    assert known.read_cause(TABLE, 10.0 + age) is cause
+
+
+def test_table_is_not_confirmed_while_changes_are_put_off() -> None:
+    """Guards against nodes that trust a leader which keeps an endpoint."""
+    known = follower(leading=True)
+    known.record_read(TABLE, at(6), 2.0, rows=[], complete=False)
+    assert known.local_states[TABLE] == table_updates.TableState(at(5), 0.0)
+    assert known.confirmed_at(TABLE) == 0.0
+    known.record_read(TABLE, at(7), 3.0, rows=[])
+    assert known.confirmed_at(TABLE) == 3.0
+
+
+def test_first_read_with_changes_put_off_tells_others_nothing() -> None:
+    known = table_updates.TableUpdates(
+        is_leader=lambda: True,
+        known_within=lambda: KNOWN_WITHIN,
+        store_era=make_era(),
+    )
+    known.record_read(TABLE, at(5), 1.0, rows=None, complete=False)
+    assert known.local_states == {}
+
+
+def test_leader_passes_on_the_last_response_to_any_node() -> None:
+    """Each node tells only of its own responses, so that none gets younger."""
+    leading, reader, other = follower(leading=True), follower(), follower()
+    heard: list[float] = []
+    other.response_handlers[TABLE] = heard.append
+    leading.record_response(TABLE, 1.0)
+    reader.record_response(TABLE, 4.0)
+    request = fleet_pb2.SyncRequest(
+        known=fleet_server.encode_known(reader, 5.0)
+    )
+    fleet_server.record_responses(leading, request.known, 5.0)
+    assert leading.last_response(TABLE) == 4.0
+    news = fleet_server.encode_updates(leading, fleet_pb2.SyncRequest(), 6.0)
+    leader_client.apply_updates(other, news, 6.0)
+    assert heard == [4.0]
+    (own,) = fleet_server.encode_known(other, 6.0)
+    assert not own.HasField("response_age_ms")
+
+
 def test_table_without_an_update_from_the_leader_is_not_covered() -> None:
     cause = follower().read_cause(TABLE, 0.0)
     assert cause is table_updates.ReadCause.FIRST
