Endpoint list: the return of a missing endpoint is told to other nodes

Callers were served by fewer endpoints for up to 30 s after an outage of the store, at nodes that had dropped an endpoint which the leader kept.

Cause: such an endpoint was no change for the leader when it came back, as it had never gone there. Nodes that had waited for less time, or had noticed no outage, read the table themselves only after 30 s.

The return counts as a change, so that its row is passed on.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/listing.py
@@ -61,8 +61,9 @@
         recheck_at: loop time at which the list is read again since entries of
             an older copy were ignored; the leader may have applied them, and
             then sends no update when they are written again.
-        changes: number of endpoints that joined, started leaving or were
-            removed so far; changes of what they hold do not count.
+        changes: number of endpoints that joined, were missing and came back,
+            started leaving or were removed so far; changes of what they hold do
+            not count.
     """
 
     def __init__(
@@ -92,7 +93,9 @@
     def update(self, entry: models.EngineEntry) -> None:
         """Applies a new or changed entry."""
         now = self._now()
-        self.missing.pop(entry.engine_id, None)
+        if self.missing.pop(entry.engine_id, None) is not None:
+            # Other nodes may have dropped it.
+            self.changes += 1
         if self.responses > 1:
             # The first response also contains entries from before the outage.
             self.written.add(entry.engine_id)
