Table updates: information is as old as the answer that it is from

Callers' requests may reach endpoints that have left for longer than is allowed where a leader or a node is short of processor time.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/leader_client.py
@@ -304,7 +304,7 @@
         self.local.store_era.observe_peer(reply.store_era, source="sync_reply")
         if reply.not_owner:
             raise leader_lib.NotLeaderError("the leader has changed")
-        self._apply(request, reply)
+        self._apply(request, reply, began_at)
         return [quota_messages.decode_grant(grant) for grant in reply.quotas]
 
     async def close(self) -> None:
@@ -312,7 +312,10 @@
         self._drop_channel()
 
     def _apply(
-        self, request: fleet_pb2.SyncRequest, reply: fleet_pb2.SyncReply
+        self,
+        request: fleet_pb2.SyncRequest,
+        reply: fleet_pb2.SyncReply,
+        began_at: float,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.known_token = reply.token
@@ -322,7 +325,8 @@
             reply.lease_era, reply.lease_revision
         )
         self.leader_may_order = reply.may_order
-        apply_updates(self.local.updates, reply.news, now)
+        # The reply may have been on its way since the request was sent.
+        apply_updates(self.local.updates, reply.news, began_at)
         self.peers = tuple(
             peer for peer in reply.peers if peer != self.own_address
         )
--- a/packages/dogwoodhinge/testing/fleet/test_leader.py
+++ b/packages/dogwoodhinge/testing/fleet/test_leader.py
@@ -483,6 +483,32 @@
     await other.stop()
 
 
+async def test_update_that_arrives_late_is_as_old_as_it_is(
+    node: Node,
+    table: fleet_fakes.FakeLeaseTable,
+    orders: fleet_fakes.FakeOrders,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against nodes that trust a busy leader for longer than it says."""
+    other = make("n2", table, orders)
+    await wait_for_engine_state(node)
+    loop = asyncio.get_running_loop()
+    node.leader_client.local.updates.record_read(
+        "op", at(5), loop.time(), rows=None
+    )
+    began_at = loop.time()
+
+    async def call(*args: object, **options: object) -> fleet_pb2.SyncReply:
+        reply = node.leader_client.local.sync(fleet_pb2.SyncRequest(node="n2"))
+        monkeypatch.setattr(loop, "time", lambda: began_at + 0.35)
+        return reply
+
+    monkeypatch.setattr(other.leader_client, "_call", call)
+    await other.leader_client.sync(fleet_pb2.SyncRequest())
+    state = other.leader_client.local.updates.leader_states["op"]
+    assert state.read_at <= began_at
+
+
 HOUR = datetime.timedelta(hours=1)
 
 
