--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -327,6 +327,13 @@
         """
         return self.known_within() - READ_MARGIN
 
+    def seconds_covered(self, table: str, now: float) -> float:
+        """Returns for how long the leader's information is recent enough."""
+        state = self.leader_states.get(table)
+        if state is None:
+            return 0.0
+        return max(0.0, state.read_at + self.max_age.total_seconds() - now)
+
     def confirmed_at(self, table: str) -> float:
         """Returns the loop time at which this node last missed no change.
 
