Table updates: a change read while others are put off is not passed on

Cause: a leader that kept a removed endpoint passed on the rows that came after the removal. The other nodes then read on from the revision of these, and never saw the removal.

Evidence: the new test of test_table_updates.py failed before.

While changes are put off, the leader tells others nothing that it reads; afterwards they have to read the table themselves, as if it could not send the rows.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -149,6 +149,8 @@
         applied: by table, the revision up to which this node has applied all
             relevant changes, from its own reads or from the leader.
         unread: tables that this node could not read at its last attempt.
+        incomplete: tables of which this node has put off changes since it last
+            told other nodes.
         confirmations: by table, the loop time at which it last missed none.
         row_handlers: by table, the callback that applies rows sent by the
             leader.
@@ -174,6 +176,7 @@
         self.local_states: dict[str, TableState] = {}
         self.leader_states: dict[str, TableState] = {}
         self.unread: set[str] = set()
+        self.incomplete: set[str] = set()
         self.confirmations: dict[str, float] = {}
         self.applied: dict[str, revisions.Revision] = {}
         self.logs: dict[str, RowLog] = {}
@@ -227,8 +230,9 @@
                 stands for, if they are of different moments. A change between
                 the two may have been seen already, and then shows no change in
                 a later response.
-            complete: whether all changes have been applied. Other nodes are
-                not told that this node missed none while some are put off.
+            complete: whether all changes have been applied. While some are
+                put off, other nodes are told of none that are read, and then
+                have to read the table.
         """
         latest = latest or revision
         self.unread.discard(table)
@@ -238,6 +242,12 @@
         if applied is None or is_new_era or revision.is_after(applied):
             self.applied[table] = revision
         log = self.logs.setdefault(table, RowLog())
+        if not complete:
+            self.incomplete.add(table)
+            return
+        if table in self.incomplete:
+            self.incomplete.remove(table)
+            rows = None
         changed_at = latest
         if rows is None or is_new_era:
             log.restart(latest)
@@ -245,11 +255,8 @@
             log.add(rows)
         if known is not None and rows == [] and not is_new_era:
             changed_at = known.revision
-        if complete:
-            self.local_states[table] = TableState(changed_at, read_at)
-            self._confirm(table, read_at)
-        elif known is not None:
-            self.local_states[table] = TableState(changed_at, known.read_at)
+        self.local_states[table] = TableState(changed_at, read_at)
+        self._confirm(table, read_at)
 
     def is_overtaken(self, table: str, revision: revisions.Revision) -> bool:
         """Returns whether a table was applied up to a later revision.
--- a/packages/dogwoodhinge/testing/fleet/test_table_updates.py
+++ b/packages/dogwoodhinge/testing/fleet/test_table_updates.py
@@ -88,6 +88,30 @@
     assert known.confirmed_at(TABLE) == 3.0
 
 
+def test_changes_read_while_some_are_put_off_make_other_nodes_read() -> None:
+    """Guards against nodes that never learn of what their leader puts off.
+
+    They read on from the newest revision that the leader has told them.
+    """
+    leading, other = follower(leading=True), follower()
+    other.row_handlers[TABLE] = lambda rows: None
+
+    def sync() -> None:
+        request = fleet_pb2.SyncRequest(
+            known=fleet_server.encode_known(other, 3.0)
+        )
+        news = fleet_server.encode_updates(leading, request, 3.0)
+        leader_client.apply_updates(other, news, 3.0)
+
+    leading.record_read(TABLE, at(7), 1.0, rows=[row("e2", 7)], complete=False)
+    sync()
+    assert other.applied[TABLE] == at(5)
+    leading.record_read(TABLE, at(8), 2.0, rows=[])
+    sync()
+    assert other.applied[TABLE] == at(5)
+    assert other.read_cause(TABLE, 3.0) is table_updates.ReadCause.BEHIND
+
+
 def test_first_read_with_changes_put_off_tells_others_nothing() -> None:
     known = table_updates.TableUpdates(
         is_leader=lambda: True,
