Feeds: only the list of endpoints is read early while the leader can't

Load pattern: an outage of the store. All nodes called it for three tables four times a second from 1 s on, where 1.4 s and more passed before. Of the three, only the list of endpoints has entries that lapse, so that a node has to know whether the store is away.

--- a/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
+++ b/packages/dogwoodhinge/src/_dogwoodhinge/fleet/table_updates.py
@@ -11,8 +11,9 @@
 shorter one would make all of them read the store all the time.
 
 Load pattern: the store refuses the leader and serves all others. Nodes then
-read it themselves sooner. What the leader puts off, since it may have missed an
-outage, it does not count as read, so that the others decide for themselves.
+read the list of endpoints themselves sooner. What the leader puts off, since it
+may have missed an outage, it does not count as read, so that the others decide
+for themselves.
 
 Revisions of different eras of the store are not compared: a node reads each
 table itself once in each era, and passes on and applies only updates of the
@@ -351,9 +352,16 @@
     def _confirm(self, table: str, at: float) -> None:
         self.confirmations[table] = max(at, self.confirmed_at(table))
 
-    def read_cause(self, table: str, now: float) -> ReadCause | None:
+    def read_cause(
+        self, table: str, now: float, *, reads_early: bool = False
+    ) -> ReadCause | None:
         """Returns why this node has to read a table itself.
 
+        Args:
+            table: name of the table.
+            now: loop time.
+            reads_early: whether to read it soon when the leader can't.
+
         Returns:
             None if a recent update shows that no change is missing.
         """
@@ -370,7 +378,8 @@
         age = now - state.read_at
         if age >= self.max_age.total_seconds():
             return ReadCause.OUTDATED
-        if state.unread and age >= LEADER_UNREAD_AGE.total_seconds():
+        is_early = reads_early and state.unread
+        if is_early and age >= LEADER_UNREAD_AGE.total_seconds():
             return ReadCause.UNREAD
         is_behind = state.revision.is_after(applied)
         return ReadCause.BEHIND if is_behind else None
